--- /dev/null
+++ b/internal/kernel/duty.go
@@ -0,0 +1,155 @@
+package kernel
+
+import (
+	"context"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"briaryard/internal/ring"
+)
+
+// DutyInfo describes a running duty for operators.
+type DutyInfo struct {
+	Name         string       `json:"name"`
+	LastActivity time.Time    `json:"last_activity"`
+	Rings        []ring.Stats `json:"rings,omitempty"`
+}
+
+// StatsSource is a ring as seen by the list of duties.
+type StatsSource interface{ Stats() ring.Stats }
+
+// Duty is a named goroutine run by a Host.
+type Duty struct {
+	name   string
+	rings  []StatsSource
+	active atomic.Int64
+	done   chan struct{}
+	cancel context.CancelFunc
+}
+
+// Touch records activity for the list of duties.
+func (d *Duty) Touch(now time.Time) { d.active.Store(now.UnixNano()) }
+
+// End asks the duty to finish and waits until it has.
+func (d *Duty) End() {
+	d.cancel()
+	<-d.done
+}
+
+// Host starts, supervises and ends duties.
+type Host struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	onPanic func(error)
+
+	mu     sync.Mutex
+	duties map[*Duty]struct{}
+	wg     sync.WaitGroup
+}
+
+func newHost(onPanic func(error)) *Host {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Host{ctx: ctx, cancel: cancel, onPanic: onPanic, duties: make(map[*Duty]struct{})}
+}
+
+// Go starts a duty. Its context ends with Duty.End or when the kernel has stopped all
+// services. The rings are shown in the list of duties.
+func (h *Host) Go(name string, run func(ctx context.Context, d *Duty), rings ...StatsSource) *Duty {
+	ctx, cancel := context.WithCancel(h.ctx)
+	d := &Duty{name: name, rings: rings, done: make(chan struct{}), cancel: cancel}
+	d.Touch(time.Now())
+	h.mu.Lock()
+	h.duties[d] = struct{}{}
+	h.mu.Unlock()
+	h.wg.Add(1)
+	go h.supervise(ctx, d, run)
+	return d
+}
+
+func (h *Host) supervise(ctx context.Context, d *Duty, run func(context.Context, *Duty)) {
+	defer h.wg.Done()
+	defer close(d.done)
+	defer d.cancel()
+	defer func() {
+		h.mu.Lock()
+		delete(h.duties, d)
+		h.mu.Unlock()
+		if v := recover(); v != nil {
+			h.onPanic(&DutyPanicError{Duty: d.name, Value: v, Stack: string(debug.Stack())})
+		}
+	}()
+	run(ctx, d)
+}
+
+// Duties lists the running duties by name.
+func (h *Host) Duties() []DutyInfo {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	infos := make([]DutyInfo, 0, len(h.duties))
+	for d := range h.duties {
+		info := DutyInfo{Name: d.name, LastActivity: time.Unix(0, d.active.Load())}
+		for _, r := range d.rings {
+			info.Rings = append(info.Rings, r.Stats())
+		}
+		infos = append(infos, info)
+	}
+	slices.SortFunc(infos, func(a, b DutyInfo) int { return strings.Compare(a.Name, b.Name) })
+	return infos
+}
+
+func (h *Host) end() {
+	h.cancel()
+	h.wg.Wait()
+}
+
+// Loop is the body of a duty that takes messages from one ring and, if Tick is positive,
+// also acts at that interval.
+type Loop[T any] struct {
+	Ring   *ring.Ring[T]
+	Tick   time.Duration
+	Handle func(now time.Time, message T)
+	OnTick func(now time.Time)
+}
+
+// Run handles messages until the context ends or the ring is closed and empty.
+func (l Loop[T]) Run(ctx context.Context, d *Duty) {
+	var ticks <-chan time.Time
+	if l.Tick > 0 {
+		ticker := time.NewTicker(l.Tick)
+		defer ticker.Stop()
+		ticks = ticker.C
+	}
+	for {
+		// A tick is taken even when the ring never runs empty, so that timeouts still
+		// fire under load.
+		select {
+		case now := <-ticks:
+			l.OnTick(now)
+		default:
+		}
+		if m, ok := l.Ring.TryGet(); ok {
+			now := time.Now()
+			d.Touch(now)
+			l.Handle(now, m)
+			if ctx.Err() == nil {
+				continue
+			}
+			return
+		}
+		select {
+		case <-l.Ring.Ready():
+		case now := <-ticks:
+			l.OnTick(now)
+		case <-l.Ring.Done():
+			if l.Ring.Stats().Depth == 0 {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/kernel/kernel.go
@@ -0,0 +1,168 @@
+package kernel
+
+import (
+	"context"
+	"reflect"
+	"slices"
+)
+
+// Service is a part of the process that others find by name.
+type Service interface {
+	// Name is the name under which other services resolve this one.
+	Name() string
+	// Needs lists the names that Provision resolves.
+	Needs() []string
+	// Provision resolves other services. It starts nothing and opens no port.
+	Provision(r Resolver) error
+	// Start opens ports and starts duties. Every service in Needs has started before.
+	Start(h *Host) error
+	// Stop ends what Start began. Services that need this one have stopped before.
+	Stop(ctx context.Context) error
+}
+
+// HealthReporter is implemented by services that can be unhealthy while running.
+type HealthReporter interface {
+	// Health returns nil while the service works.
+	Health() error
+}
+
+// Resolver looks services up for one service during Provision.
+type Resolver struct {
+	kernel  *Kernel
+	service Service
+}
+
+// Resolve returns the service registered under name as a T.
+func Resolve[T any](r Resolver, name string) (T, error) {
+	var zero T
+	if !slices.Contains(r.service.Needs(), name) {
+		return zero, &UndeclaredNeedError{Service: r.service.Name(), Name: name}
+	}
+	s, ok := r.kernel.services[name]
+	if !ok {
+		return zero, &MissingNameError{Service: r.service.Name(), Needs: name}
+	}
+	v, ok := s.(T)
+	if !ok {
+		return zero, &WrongTypeError{Name: name, Want: reflect.TypeFor[T]().String()}
+	}
+	return v, nil
+}
+
+// Kernel registers services and runs their life cycle.
+type Kernel struct {
+	services map[string]Service
+	names    []string
+	started  []Service
+	host     *Host
+}
+
+// New returns an empty kernel. onPanic is called at most once for each duty that panics.
+func New(onPanic func(error)) *Kernel {
+	return &Kernel{services: make(map[string]Service), host: newHost(onPanic)}
+}
+
+// Register adds a service. It fails if the name is taken.
+func (k *Kernel) Register(s Service) error {
+	name := s.Name()
+	if _, taken := k.services[name]; taken {
+		return &DuplicateNameError{Name: name}
+	}
+	k.services[name] = s
+	k.names = append(k.names, name)
+	return nil
+}
+
+// Start orders, provisions and starts all services. If one fails, those already started are
+// stopped again in reverse order.
+func (k *Kernel) Start(ctx context.Context) error {
+	order, err := k.order()
+	if err != nil {
+		return err
+	}
+	for _, s := range order {
+		if err := s.Provision(Resolver{kernel: k, service: s}); err != nil {
+			return &ServiceError{Service: s.Name(), Step: "provision", Err: err}
+		}
+	}
+	for _, s := range order {
+		if err := s.Start(k.host); err != nil {
+			_ = k.Stop(ctx)
+			return &ServiceError{Service: s.Name(), Step: "start", Err: err}
+		}
+		k.started = append(k.started, s)
+	}
+	return nil
+}
+
+// Stop stops the started services in reverse order, then ends all duties and waits for them.
+// It returns the first failure but stops every service.
+func (k *Kernel) Stop(ctx context.Context) error {
+	var first error
+	for _, s := range slices.Backward(k.started) {
+		if err := s.Stop(ctx); err != nil && first == nil {
+			first = &ServiceError{Service: s.Name(), Step: "stop", Err: err}
+		}
+	}
+	k.started = nil
+	k.host.end()
+	return first
+}
+
+// Health returns the failure of each unhealthy service by name.
+func (k *Kernel) Health() map[string]error {
+	unhealthy := make(map[string]error)
+	for _, s := range k.started {
+		r, ok := s.(HealthReporter)
+		if !ok {
+			continue
+		}
+		if err := r.Health(); err != nil {
+			unhealthy[s.Name()] = err
+		}
+	}
+	return unhealthy
+}
+
+// Host returns the host that runs this kernel's duties.
+func (k *Kernel) Host() *Host { return k.host }
+
+// order returns the services so that each follows everything it needs. The result depends
+// only on the registration order.
+func (k *Kernel) order() ([]Service, error) {
+	const visiting, visited = 1, 2
+	marks := make(map[string]int)
+	var path []string
+	var out []Service
+	var visit func(name string) error
+	visit = func(name string) error {
+		switch marks[name] {
+		case visited:
+			return nil
+		case visiting:
+			from := slices.Index(path, name)
+			return &CycleError{Names: append(slices.Clone(path[from:]), name)}
+		}
+		marks[name] = visiting
+		path = append(path, name)
+		s := k.services[name]
+		for _, need := range s.Needs() {
+			if _, ok := k.services[need]; !ok {
+				return &MissingNameError{Service: name, Needs: need}
+			}
+			if err := visit(need); err != nil {
+				return err
+			}
+		}
+		path = path[:len(path)-1]
+		marks[name] = visited
+		out = append(out, s)
+		return nil
+	}
+	for _, name := range k.names {
+		if err := visit(name); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/model/config.go
@@ -0,0 +1,77 @@
+package model
+
+import "time"
+
+// Config is the fleet configuration in force. It is immutable once accepted.
+type Config struct {
+	Revision Revision
+	Teams    map[TeamID]Team
+	Pools    map[PoolID]Pool
+	// DefaultTeam applies to callers that name a team without a declaration; empty refuses them.
+	DefaultTeam TeamID
+	// MinimumShare is the share of each tier's capacity that lower tiers cannot lose while
+	// no higher tier would miss a deadline, 0 to 1.
+	MinimumShare [TierCount]float64
+}
+
+// Team declares the share and the limits of a team.
+type Team struct {
+	ID TeamID
+	// Weight is the team's share relative to other teams.
+	Weight float64
+	// HighestTier is the most urgent tier that the team may ask for.
+	HighestTier Tier
+	// LowerTier makes a request above HighestTier run at HighestTier instead of refusing it.
+	LowerTier bool
+	// RatePerSecond and Burst limit the team's requests at each instance; zero is unlimited.
+	RatePerSecond float64
+	Burst         int
+	// Concurrency limits the team's requests in progress at each instance; zero is unlimited.
+	Concurrency int
+	// CallerRatePerSecond limits one caller of the team at each instance; zero is unlimited.
+	CallerRatePerSecond float64
+	// CallerConcurrency limits one caller's requests in progress at each instance.
+	CallerConcurrency int
+}
+
+// Pool declares a model or a plain service.
+type Pool struct {
+	ID   PoolID
+	Kind ServerKind
+	// Routes apply to plain services; the first match counts.
+	Routes []Route
+	// DefaultTier and DefaultDeadline apply when the caller states none.
+	DefaultTier     Tier
+	DefaultDeadline time.Duration
+	// MaxDeadline bounds what a caller may ask for.
+	MaxDeadline time.Duration
+	// MaxBody bounds a request body in bytes.
+	MaxBody int
+	// MaxWaiting bounds the waiting requests of the pool in the fleet.
+	MaxWaiting int
+	// MaxTokens bounds and, if the caller states none, sets the length of an answer.
+	MaxTokens int
+	// ServersPerDomain is the number of engines placement keeps in each failure domain.
+	ServersPerDomain int
+}
+
+// Route declares one kind of call to a plain service.
+type Route struct {
+	// Method is an HTTP method or "*".
+	Method string
+	// PathPrefix selects calls by path.
+	PathPrefix string
+	// Idempotent calls may be repeated without harm. Others need an idempotency key.
+	Idempotent bool
+}
+
+// Route returns the declaration that applies to a call. An undeclared call counts as
+// idempotent only if its method is GET or HEAD, which HTTP defines as safe.
+func (p *Pool) Route(method, path string) Route {
+	for _, r := range p.Routes {
+		if (r.Method == "*" || r.Method == method) && len(path) >= len(r.PathPrefix) && path[:len(r.PathPrefix)] == r.PathPrefix {
+			return r
+		}
+	}
+	return Route{Method: method, PathPrefix: path, Idempotent: method == "GET" || method == "HEAD"}
+}
