--- /dev/null
+++ b/cmd/briaryard/serve.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"briaryard/internal/app"
+)
+
+// serveCommand runs one instance.
+type serveCommand struct {
+	app.Settings
+}
+
+// Run implements the command.
+func (c *serveCommand) Run() error {
+	if err := checkSettings(&c.Settings); err != nil {
+		return err
+	}
+	i := app.New(c.Settings, newLogger(c.LogLevel), devConfig)
+	code, err := i.Run(context.Background(), func() {})
+	exitCode = code
+	return err
+}
+
+// checkSettings prints every fault of the settings and returns the first.
+func checkSettings(s *app.Settings) error {
+	faults := s.Check()
+	for _, f := range faults {
+		fmt.Fprintln(os.Stderr, f)
+	}
+	if len(faults) > 0 {
+		return faults[0]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,156 @@
+package app
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"go.uber.org/fx"
+
+	"briaryard/internal/event"
+	"briaryard/internal/kernel"
+	"briaryard/internal/metric"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/service/config"
+	"briaryard/internal/service/controlclient"
+	"briaryard/internal/service/dispatch"
+	"briaryard/internal/service/dispatcher"
+	"briaryard/internal/service/engineclient"
+	"briaryard/internal/service/entry"
+	"briaryard/internal/service/frontannounce"
+	"briaryard/internal/service/frontcaller"
+	"briaryard/internal/service/frontoperator"
+	"briaryard/internal/service/lifecycle"
+	"briaryard/internal/service/members"
+	"briaryard/internal/service/peers"
+	"briaryard/internal/service/plainclient"
+	"briaryard/internal/service/transfer"
+)
+
+// startTimeout bounds the start of all services.
+const startTimeout = 30 * time.Second
+
+// Instance is a running instance.
+type Instance struct {
+	fx          *fx.App
+	kernel      *kernel.Kernel
+	log         *event.Log
+	settings    Settings
+	incarnation model.Incarnation
+	callers     *frontcaller.Service
+	announce    *frontannounce.Service
+	operators   *frontoperator.Service
+	lifecycle   *lifecycle.Service
+	failed      chan error
+}
+
+// New constructs an instance with an initial configuration for a fleet of one.
+func New(settings Settings, out *slog.Logger, initial []byte) *Instance {
+	i := &Instance{
+		settings: settings, log: event.New(out),
+		incarnation: model.Incarnation(time.Now().UnixNano()), failed: make(chan error, 1),
+	}
+	i.kernel = kernel.New(i.onPanic)
+	i.fx = fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.Supply(i.log, &i.settings, initial),
+		fx.Provide(metric.NewSet, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
+		fx.Provide(
+			service(func() *peers.Service { return peers.New(model.InstanceID(settings.ID), i.incarnation) }),
+			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
+			service(func(initial []byte) *controlclient.Local {
+				return controlclient.NewLocal(model.InstanceID(settings.ID), i.incarnation, initial)
+			}),
+			service(config.New), service(dispatch.New), service(dispatcher.New), service(entry.New),
+			service(transfer.New), service(func(l *event.Log) kernel.Service { return engineclient.New(l) }),
+			service(func() kernel.Service { return plainclient.New() }),
+			service(func(s *frontcaller.Service) kernel.Service { return s }),
+			service(func(s *frontannounce.Service) kernel.Service { return s }),
+			service(func(s *frontoperator.Service) kernel.Service { return s }),
+			service(func(s *lifecycle.Service) kernel.Service { return s }),
+		),
+		fx.Populate(&i.callers, &i.announce, &i.operators, &i.lifecycle),
+		fx.Invoke(fx.Annotate(i.register, fx.ParamTags(``, `group:"services"`))),
+	)
+	return i
+}
+
+// service marks a constructor's result as one of the services that the kernel runs.
+func service(constructor any) any {
+	return fx.Annotate(constructor, fx.As(new(kernel.Service)), fx.ResultTags(`group:"services"`))
+}
+
+func (i *Instance) newCallers(l *event.Log) *frontcaller.Service {
+	return frontcaller.New(l, frontcaller.Options{
+		Address: i.settings.CallerAddress, MaxBody: i.settings.MaxBodyBytes,
+		AddressTTL: int(i.settings.AddressTTL.Seconds()), Domain: model.FailureDomain(i.settings.FailureDomain),
+	})
+}
+
+func (i *Instance) newAnnounce(l *event.Log) *frontannounce.Service {
+	return frontannounce.New(l, i.settings.ServerAddress)
+}
+
+func (i *Instance) newOperators(l *event.Log, m *metric.Set) *frontoperator.Service {
+	return frontoperator.New(l, m, i.settings.OperAddress, i.kernel.Health)
+}
+
+func (i *Instance) newLifecycle(l *event.Log) *lifecycle.Service {
+	return lifecycle.New(l, i.settings.AddressTTL)
+}
+
+// register hands the services to the kernel and ties the kernel's life cycle to fx.
+func (i *Instance) register(lc fx.Lifecycle, services []kernel.Service) error {
+	for _, s := range services {
+		if err := i.kernel.Register(s); err != nil {
+			return err
+		}
+	}
+	lc.Append(fx.Hook{OnStart: i.kernel.Start, OnStop: i.kernel.Stop})
+	return nil
+}
+
+func (i *Instance) onPanic(err error) {
+	if p, ok := err.(*kernel.DutyPanicError); ok {
+		i.log.Emit(event.DutyPanicked, p.Error(), p.Stack)
+	}
+	select {
+	case i.failed <- err:
+	default:
+	}
+}
+
+// Start starts all services.
+func (i *Instance) Start(ctx context.Context) error {
+	if err := i.fx.Start(ctx); err != nil {
+		return err
+	}
+	i.log.Emit(event.ProcessStarted, i.settings.ID, i.incarnation, i.settings.FailureDomain)
+	return nil
+}
+
+// BeginStop starts the graceful stop; finished is called when no request is left.
+func (i *Instance) BeginStop(finished func()) {
+	var stop port.Lifecycle = i.lifecycle
+	stop.BeginStop(finished)
+}
+
+// Stop stops all services. It is called after the graceful stop has finished, or to cut it short.
+func (i *Instance) Stop(ctx context.Context) error { return i.fx.Stop(ctx) }
+
+// Failed receives the failure of a duty that panicked.
+func (i *Instance) Failed() <-chan error { return i.failed }
+
+// Log returns the instance's log.
+func (i *Instance) Log() *event.Log { return i.log }
+
+// CallerAddress returns the address that callers connect to.
+func (i *Instance) CallerAddress() string { return i.callers.Address() }
+
+// ServerAddress returns the address that backend servers announce themselves to.
+func (i *Instance) ServerAddress() string { return i.announce.Address() }
+
+// OperatorAddress returns the address that operators connect to.
+func (i *Instance) OperatorAddress() string { return i.operators.Address() }
--- /dev/null
+++ b/internal/app/settings.go
@@ -0,0 +1,65 @@
+package app
+
+import (
+	"net"
+	"time"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+)
+
+// Settings are the process settings of an instance. Each is a flag and an environment
+// variable of the serve command.
+type Settings struct {
+	ID            string        `help:"Name of this instance, unique in the fleet." env:"BRIARYARD_ID" default:"instance-1"`
+	FailureDomain string        `help:"Failure domain of this machine." env:"BRIARYARD_FAILURE_DOMAIN" default:"domain-1"`
+	CallerAddress string        `help:"Address (host:port) where callers connect." env:"BRIARYARD_CALLER_ADDRESS" default:"127.0.0.1:8080"`
+	ServerAddress string        `help:"Address (host:port) where backend servers announce themselves." env:"BRIARYARD_SERVER_ADDRESS" default:"127.0.0.1:8081"`
+	OperAddress   string        `name:"operator-address" help:"Address (host:port) where operators connect." env:"BRIARYARD_OPERATOR_ADDRESS" default:"127.0.0.1:8082"`
+	AddressTTL    time.Duration `name:"address-ttl" help:"How long callers may keep the list of addresses (1s to 5m). A stop waits this long." env:"BRIARYARD_ADDRESS_TTL" default:"5s"`
+	MaxBodyBytes  int64         `help:"Largest request body in bytes (1024 to 67108864)." env:"BRIARYARD_MAX_BODY_BYTES" default:"1048576"`
+	LogLevel      string        `help:"Lowest level of log events: debug, info, warn or error." env:"BRIARYARD_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
+}
+
+const (
+	minAddressTTL = time.Second
+	maxAddressTTL = 5 * time.Minute
+	minBodyBytes  = 1024
+	maxBodyBytes  = 64 << 20
+)
+
+// Check returns every fault of the settings at once.
+func (s *Settings) Check() []fault.Fault {
+	var faults []fault.Fault
+	bad := func(setting, reason string) {
+		faults = append(faults, &fault.InvalidSetting{Setting: setting, Reason: reason})
+	}
+	if s.ID == "" {
+		bad("--id", "must not be empty")
+	}
+	if s.FailureDomain == "" {
+		bad("--failure-domain", "must not be empty")
+	}
+	for name, address := range map[string]string{
+		"--caller-address": s.CallerAddress, "--server-address": s.ServerAddress, "--operator-address": s.OperAddress,
+	} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			bad(name, "want host:port")
+		}
+	}
+	if s.AddressTTL < minAddressTTL || s.AddressTTL > maxAddressTTL {
+		bad("--address-ttl", "must be from 1s to 5m")
+	}
+	if s.MaxBodyBytes < minBodyBytes || s.MaxBodyBytes > maxBodyBytes {
+		bad("--max-body-bytes", "must be from 1024 to 67108864")
+	}
+	return faults
+}
+
+// instance returns this instance's own membership record.
+func (s *Settings) instance(incarnation model.Incarnation) model.Instance {
+	return model.Instance{
+		ID: model.InstanceID(s.ID), Incarnation: incarnation,
+		Domain: model.FailureDomain(s.FailureDomain), CallerAddress: s.CallerAddress,
+	}
+}
--- /dev/null
+++ b/internal/decide/entry/limiter.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"time"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+)
+
+// bucket is a token bucket; one token is one request.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// takeToken refills the bucket and takes one token. If there is none it returns the time until there is.
+func (b *bucket) takeToken(now time.Time, rate float64, burst int) (time.Duration, bool) {
+	size := float64(max(burst, 1))
+	if b.at.IsZero() {
+		b.tokens = size
+	} else {
+		b.tokens = min(size, b.tokens+now.Sub(b.at).Seconds()*rate)
+	}
+	b.at = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0, true
+	}
+	return time.Duration((1 - b.tokens) / rate * float64(time.Second)), false
+}
+
+type callerKey struct {
+	team   model.TeamID
+	caller model.CallerID
+}
+
+// usage counts what one team or caller uses at this instance.
+type usage struct {
+	bucket     bucket
+	inProgress int
+}
+
+// limiter applies the declared rates and concurrency of teams and callers.
+type limiter struct {
+	teams   map[model.TeamID]*usage
+	callers map[callerKey]*usage
+}
+
+// idleCallerAge is how long the bucket of an idle caller is kept; by then it is full again
+// at any rate that admits a request a minute.
+const idleCallerAge = time.Minute
+
+func newLimiter() limiter {
+	return limiter{teams: make(map[model.TeamID]*usage), callers: make(map[callerKey]*usage)}
+}
+
+func (l *limiter) of(team model.TeamID, caller model.CallerID) (*usage, *usage) {
+	t := l.teams[team]
+	if t == nil {
+		t = &usage{}
+		l.teams[team] = t
+	}
+	key := callerKey{team, caller}
+	c := l.callers[key]
+	if c == nil {
+		c = &usage{}
+		l.callers[key] = c
+	}
+	return t, c
+}
+
+// begin counts a request as in progress; end takes it off again.
+func (l *limiter) begin(team model.TeamID, caller model.CallerID) {
+	t, c := l.of(team, caller)
+	t.inProgress++
+	c.inProgress++
+}
+
+func (l *limiter) end(team model.TeamID, caller model.CallerID) {
+	t, c := l.of(team, caller)
+	t.inProgress--
+	c.inProgress--
+	if c.inProgress <= 0 && c.bucket.at.IsZero() {
+		delete(l.callers, callerKey{team, caller})
+	}
+}
+
+// check decides whether a request that is already counted as in progress may wait. The
+// caller's limits come first, so that one caller's retries do not use up the team's rate.
+func (l *limiter) check(now time.Time, team *model.Team, caller model.CallerID) fault.Fault {
+	t, c := l.of(team.ID, caller)
+	if team.CallerConcurrency > 0 && c.inProgress > team.CallerConcurrency {
+		return &fault.ConcurrencyLimited{Team: team.ID, Limit: team.CallerConcurrency}
+	}
+	if team.Concurrency > 0 && t.inProgress > team.Concurrency {
+		return &fault.ConcurrencyLimited{Team: team.ID, Limit: team.Concurrency}
+	}
+	if team.CallerRatePerSecond > 0 {
+		if after, ok := c.bucket.takeToken(now, team.CallerRatePerSecond, team.Burst); !ok {
+			return &fault.RateLimited{Team: team.ID, After: after}
+		}
+	}
+	if team.RatePerSecond > 0 {
+		if after, ok := t.bucket.takeToken(now, team.RatePerSecond, team.Burst); !ok {
+			return &fault.RateLimited{Team: team.ID, After: after}
+		}
+	}
+	return nil
+}
+
+// expire forgets idle callers, which bounds the memory when callers make up their names.
+func (l *limiter) expire(now time.Time) {
+	for key, c := range l.callers {
+		if c.inProgress <= 0 && now.Sub(c.bucket.at) > idleCallerAge {
+			delete(l.callers, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/state/claims.go
@@ -0,0 +1,213 @@
+package state
+
+import (
+	"time"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+)
+
+// ClaimRecord is the state of one key.
+type ClaimRecord struct {
+	Key         model.KeyHash
+	Fingerprint model.Fingerprint
+	Request     model.RequestID
+	// Status is ClaimHeld, ClaimFinished or ClaimUnknown.
+	Status ClaimStatus
+	// Answer is nil until the claim is finished, and when it is not kept.
+	Answer     *model.Answer
+	FinishedAt time.Time
+}
+
+// Barrier refuses claims by attempts that began before Index.
+type Barrier struct {
+	Key   model.KeyHash
+	Index uint64
+	At    time.Time
+}
+
+type owner struct {
+	instance    model.InstanceID
+	incarnation model.Incarnation
+}
+
+// claims holds the claims. Invariant: a key leaves the state held only for finished,
+// unknown or, when it provably did not run, for no claim at all.
+type claims struct {
+	byKey map[model.KeyHash]*ClaimRecord
+	// held lists the held claims of each owner, so that a death touches only its own.
+	held map[owner]map[model.KeyHash]struct{}
+	// finished lists finished claims, oldest first; kept is the part that still has answers.
+	finished    []model.KeyHash
+	kept        []model.KeyHash
+	answerBytes int
+	barriers    map[model.KeyHash]Barrier
+	barrierAge  []Barrier
+}
+
+func newClaims() claims {
+	return claims{
+		byKey:    make(map[model.KeyHash]*ClaimRecord),
+		held:     make(map[owner]map[model.KeyHash]struct{}),
+		barriers: make(map[model.KeyHash]Barrier),
+	}
+}
+
+func (c *claims) lookup(l Lookup) Result {
+	r, ok := c.byKey[l.Key]
+	if !ok {
+		return Result{Claim: ClaimNone}
+	}
+	return r.result(l.Fingerprint)
+}
+
+func (r *ClaimRecord) result(f model.Fingerprint) Result {
+	if r.Fingerprint != f {
+		return Result{Claim: ClaimMismatch}
+	}
+	return Result{Claim: r.Status, Answer: r.Answer}
+}
+
+func (c *claims) claim(cmd Claim, limits Limits) Result {
+	if r, ok := c.byKey[cmd.Key]; ok {
+		if r.Request == cmd.Request && r.Status == ClaimHeld {
+			return Result{Claim: ClaimWon}
+		}
+		return r.result(cmd.Fingerprint)
+	}
+	if b, ok := c.barriers[cmd.Key]; ok && cmd.SeenIndex < b.Index {
+		return Result{Claim: ClaimSuperseded}
+	}
+	if len(c.byKey) >= limits.Claims {
+		return Result{Claim: ClaimFull, Err: &fault.ClaimsFull{Limit: limits.Claims}}
+	}
+	c.hold(&ClaimRecord{Key: cmd.Key, Fingerprint: cmd.Fingerprint, Request: cmd.Request, Status: ClaimHeld})
+	return Result{Claim: ClaimWon}
+}
+
+func (c *claims) hold(r *ClaimRecord) {
+	c.byKey[r.Key] = r
+	o := owner{r.Request.Instance, r.Request.Incarnation}
+	if c.held[o] == nil {
+		c.held[o] = make(map[model.KeyHash]struct{})
+	}
+	c.held[o][r.Key] = struct{}{}
+}
+
+func (c *claims) unhold(r *ClaimRecord) {
+	o := owner{r.Request.Instance, r.Request.Incarnation}
+	delete(c.held[o], r.Key)
+	if len(c.held[o]) == 0 {
+		delete(c.held, o)
+	}
+}
+
+// finish records the outcome. An unknown claim may still become finished, because only
+// the attempt that ran can know its answer.
+func (c *claims) finish(cmd Finish, now time.Time, limits Limits) Result {
+	r, ok := c.byKey[cmd.Key]
+	if !ok || r.Request != cmd.Request {
+		return Result{Claim: ClaimNone}
+	}
+	if r.Status == ClaimFinished {
+		return Result{Claim: ClaimFinished, Answer: r.Answer}
+	}
+	c.unhold(r)
+	r.Status = ClaimFinished
+	r.FinishedAt = now
+	c.finished = append(c.finished, r.Key)
+	if cmd.Answer != nil && len(cmd.Answer.Body) <= limits.AnswerBytes {
+		r.Answer = cmd.Answer
+		c.kept = append(c.kept, r.Key)
+		c.answerBytes += len(cmd.Answer.Body)
+	}
+	for c.answerBytes > limits.TotalAnswerBytes {
+		c.dropAnswer(c.kept[0])
+		c.kept = c.kept[1:]
+	}
+	return Result{Claim: ClaimFinished, Answer: r.Answer}
+}
+
+func (c *claims) dropAnswer(key model.KeyHash) {
+	if r, ok := c.byKey[key]; ok && r.Answer != nil {
+		c.answerBytes -= len(r.Answer.Body)
+		r.Answer = nil
+	}
+}
+
+// abandon makes a held claim unknown.
+func (c *claims) abandon(cmd Abandon) Result {
+	r, ok := c.byKey[cmd.Key]
+	if !ok || r.Request != cmd.Request {
+		return Result{Claim: ClaimNone}
+	}
+	if r.Status == ClaimHeld {
+		c.unhold(r)
+		r.Status = ClaimUnknown
+	}
+	return Result{Claim: r.Status, Answer: r.Answer}
+}
+
+func (c *claims) release(cmd Release, index uint64, now time.Time) Result {
+	r, ok := c.byKey[cmd.Key]
+	if ok && (r.Request != cmd.Request || r.Status != ClaimHeld) {
+		return Result{Claim: r.Status, Answer: r.Answer}
+	}
+	if ok {
+		c.unhold(r)
+		delete(c.byKey, cmd.Key)
+	}
+	c.setBarrier(cmd.Key, index, now)
+	return Result{Claim: ClaimNone}
+}
+
+func (c *claims) refuse(cmd Refuse, index uint64, now time.Time) Result {
+	if r, ok := c.byKey[cmd.Key]; ok {
+		return Result{Claim: r.Status, Answer: r.Answer}
+	}
+	c.setBarrier(cmd.Key, index, now)
+	return Result{Claim: ClaimNone}
+}
+
+func (c *claims) setBarrier(key model.KeyHash, index uint64, now time.Time) {
+	b := Barrier{Key: key, Index: index, At: now}
+	c.barriers[key] = b
+	c.barrierAge = append(c.barrierAge, b)
+}
+
+// ownerDead makes the claims of dead incarnations unknown.
+func (c *claims) ownerDead(cmd OwnerDead) {
+	for o, keys := range c.held {
+		if o.instance != cmd.Instance || o.incarnation > cmd.Incarnation {
+			continue
+		}
+		for key := range keys {
+			c.byKey[key].Status = ClaimUnknown
+		}
+		delete(c.held, o)
+	}
+}
+
+// expire forgets finished claims and barriers that are past their retention. Held and
+// unknown claims never expire.
+func (c *claims) expire(now time.Time, limits Limits) {
+	for len(c.finished) > 0 {
+		r := c.byKey[c.finished[0]]
+		if now.Sub(r.FinishedAt) <= limits.Retention {
+			break
+		}
+		c.dropAnswer(r.Key)
+		delete(c.byKey, r.Key)
+		c.finished = c.finished[1:]
+	}
+	for len(c.kept) > 0 && c.byKey[c.kept[0]] == nil {
+		c.kept = c.kept[1:]
+	}
+	for len(c.barrierAge) > 0 && now.Sub(c.barrierAge[0].At) > limits.BarrierRetention {
+		b := c.barrierAge[0]
+		if c.barriers[b.Key] == b {
+			delete(c.barriers, b.Key)
+		}
+		c.barrierAge = c.barrierAge[1:]
+	}
+}
--- /dev/null
+++ b/internal/decide/state/command.go
@@ -0,0 +1,161 @@
+package state
+
+import (
+	"time"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+)
+
+// Command is a change of the state, or a Lookup, which changes nothing. Applying a command
+// a second time has no further effect.
+type Command interface{ command() }
+
+// Claim reserves a key for one attempt just before it is dispatched.
+type Claim struct {
+	Key         model.KeyHash
+	Fingerprint model.Fingerprint
+	Request     model.RequestID
+	// SeenIndex is the log index at which the attempt learned that no claim stood.
+	SeenIndex uint64
+}
+
+// Finish records the outcome of a claimed request.
+type Finish struct {
+	Key     model.KeyHash
+	Request model.RequestID
+	// Answer is nil if the answer is larger than Limits.AnswerBytes.
+	Answer *model.Answer
+}
+
+// Abandon makes a held claim unknown: its request was sent and its answer was interrupted.
+type Abandon struct {
+	Key     model.KeyHash
+	Request model.RequestID
+}
+
+// Release gives up a claim whose request provably did not run, before not_run is answered.
+type Release struct {
+	Key     model.KeyHash
+	Request model.RequestID
+}
+
+// Refuse sets a barrier before a keyed request that holds no claim is answered not_run:
+// attempts that began earlier can no longer claim the key.
+type Refuse struct {
+	Key     model.KeyHash
+	Request model.RequestID
+}
+
+// Lookup reads the claim of a key.
+type Lookup struct {
+	Key         model.KeyHash
+	Fingerprint model.Fingerprint
+}
+
+// Await is a Lookup that is answered when the claim is no longer held, or after a time limit.
+type Await struct{ Lookup }
+
+// OwnerDead makes the claims that an instance held in an incarnation, or an earlier one,
+// unknown.
+type OwnerDead struct {
+	Instance    model.InstanceID
+	Incarnation model.Incarnation
+}
+
+// ApplyConfig proposes a configuration.
+type ApplyConfig struct {
+	// ChangeID names the change; a resent change has the same id and content.
+	ChangeID string
+	// Base is the revision that the operator started from.
+	Base model.Revision
+	// Number is the revision that the change wants to become.
+	Number   model.Revision
+	Operator string
+	Content  []byte
+}
+
+// AcquireLease gives a lease to an instance.
+type AcquireLease struct {
+	Name        string
+	Holder      model.InstanceID
+	Incarnation model.Incarnation
+	// After is the epoch that the lease must still have; a mismatch leaves it unchanged.
+	After model.Epoch
+}
+
+// ReleaseLease gives a lease up.
+type ReleaseLease struct {
+	Name  string
+	Epoch model.Epoch
+}
+
+func (Claim) command()        {}
+func (Finish) command()       {}
+func (Abandon) command()      {}
+func (Release) command()      {}
+func (Refuse) command()       {}
+func (Lookup) command()       {}
+func (Await) command()        {}
+func (OwnerDead) command()    {}
+func (ApplyConfig) command()  {}
+func (AcquireLease) command() {}
+func (ReleaseLease) command() {}
+
+// ClaimStatus is the answer to a command about a key.
+type ClaimStatus uint8
+
+// Claim statuses.
+const (
+	// ClaimNone means that no claim stands.
+	ClaimNone ClaimStatus = iota
+	// ClaimWon means that the attempt holds the claim.
+	ClaimWon
+	// ClaimHeld means that another attempt holds the claim and has not ended.
+	ClaimHeld
+	// ClaimFinished means that the request ran; Answer is nil if it is not kept.
+	ClaimFinished
+	// ClaimUnknown means that the owner died and the request may have run.
+	ClaimUnknown
+	// ClaimMismatch means that the key belongs to a request with another fingerprint.
+	ClaimMismatch
+	// ClaimSuperseded means that the key was refused after the attempt began.
+	ClaimSuperseded
+	// ClaimFull means that there is no room for another claim.
+	ClaimFull
+)
+
+// String returns the status's name.
+func (s ClaimStatus) String() string {
+	return [...]string{"none", "won", "held", "finished", "unknown", "mismatch", "superseded", "full"}[min(s, ClaimFull)]
+}
+
+// Lease is a lease with its fencing number.
+type Lease struct {
+	Name        string
+	Holder      model.InstanceID
+	Incarnation model.Incarnation
+	Epoch       model.Epoch
+}
+
+// AcceptedConfig is an accepted configuration.
+type AcceptedConfig struct {
+	Revision model.Revision
+	ChangeID string
+	Operator string
+	At       time.Time
+	Content  []byte
+}
+
+// Result is the answer to a command.
+type Result struct {
+	// Index is the log index of the command, or of the last applied entry for a Lookup.
+	Index  uint64
+	Claim  ClaimStatus
+	Answer *model.Answer
+	Lease  Lease
+	// Revision is the accepted revision.
+	Revision model.Revision
+	// Err is set when the command was refused.
+	Err fault.Fault
+}
--- /dev/null
+++ b/internal/decide/state/machine.go
@@ -0,0 +1,149 @@
+package state
+
+import (
+	"time"
+
+	"briaryard/internal/model"
+)
+
+// Limits bounds the memory of a Machine.
+type Limits struct {
+	// Claims is the number of claims kept at once.
+	Claims int
+	// AnswerBytes is the size of the largest answer that is kept.
+	AnswerBytes int
+	// TotalAnswerBytes bounds all kept answers together; the oldest are dropped first.
+	TotalAnswerBytes int
+	// Retention is how long a finished claim is kept.
+	Retention time.Duration
+	// BarrierRetention must exceed the longest time that an attempt can wait, so that no
+	// attempt outlives the barrier that stops it.
+	BarrierRetention time.Duration
+	// Changes is the number of past configuration changes whose ids are remembered.
+	Changes int
+}
+
+// DefaultLimits are the limits of a control group.
+func DefaultLimits() Limits {
+	return Limits{
+		Claims:           1_000_000,
+		AnswerBytes:      256 << 10,
+		TotalAnswerBytes: 256 << 20,
+		Retention:        24 * time.Hour,
+		BarrierRetention: time.Hour,
+		Changes:          10_000,
+	}
+}
+
+// Machine is the replicated state.
+type Machine struct {
+	limits  Limits
+	applied uint64
+	// now is the latest time stamp of an applied entry. It never goes back.
+	now     time.Time
+	claims  claims
+	configs configs
+	leases  map[string]Lease
+}
+
+// NewMachine returns an empty state.
+func NewMachine(limits Limits) *Machine {
+	return &Machine{
+		limits:  limits,
+		claims:  newClaims(),
+		configs: newConfigs(),
+		leases:  make(map[string]Lease),
+	}
+}
+
+// Applied returns the index of the last applied entry.
+func (m *Machine) Applied() uint64 { return m.applied }
+
+// Apply applies the log entry at index. Entries at or below the last applied index change
+// nothing, so that an entry is never applied twice.
+func (m *Machine) Apply(index uint64, at time.Time, c Command) Result {
+	if index <= m.applied {
+		return Result{Index: m.applied}
+	}
+	m.applied = index
+	if at.After(m.now) {
+		m.now = at
+	}
+	m.claims.expire(m.now, m.limits)
+	r := m.apply(c)
+	r.Index = index
+	return r
+}
+
+// Skip records that the entry at index holds no command.
+func (m *Machine) Skip(index uint64) { m.applied = max(m.applied, index) }
+
+func (m *Machine) apply(c Command) Result {
+	switch c := c.(type) {
+	case Claim:
+		return m.claims.claim(c, m.limits)
+	case Finish:
+		return m.claims.finish(c, m.now, m.limits)
+	case Abandon:
+		return m.claims.abandon(c)
+	case Release:
+		return m.claims.release(c, m.applied, m.now)
+	case Refuse:
+		return m.claims.refuse(c, m.applied, m.now)
+	case OwnerDead:
+		m.claims.ownerDead(c)
+	case ApplyConfig:
+		return m.configs.apply(c, m.now, m.limits)
+	case AcquireLease:
+		return Result{Lease: m.acquire(c)}
+	case ReleaseLease:
+		return Result{Lease: m.release(c)}
+	case Lookup:
+		return m.Lookup(c)
+	case Await:
+		return m.Lookup(c.Lookup)
+	}
+	return Result{}
+}
+
+// Lookup reads the claim of a key.
+func (m *Machine) Lookup(l Lookup) Result {
+	r := m.claims.lookup(l)
+	r.Index = m.applied
+	return r
+}
+
+// Config returns the configuration in force.
+func (m *Machine) Config() AcceptedConfig { return m.configs.current }
+
+// History returns the accepted changes without their content, oldest first.
+func (m *Machine) History() []AcceptedConfig { return m.configs.history }
+
+// Leases returns all leases.
+func (m *Machine) Leases() map[string]Lease { return m.leases }
+
+// ClaimCount returns the number of claims.
+func (m *Machine) ClaimCount() int { return len(m.claims.byKey) }
+
+// acquire gives the lease to the holder if its epoch is still c.After. The new epoch is
+// larger than every earlier one of the lease, so it can serve as a fencing number.
+func (m *Machine) acquire(c AcquireLease) Lease {
+	l := m.leases[c.Name]
+	if l.Epoch != c.After {
+		return l
+	}
+	l = Lease{Name: c.Name, Holder: c.Holder, Incarnation: c.Incarnation, Epoch: l.Epoch + 1}
+	m.leases[c.Name] = l
+	return l
+}
+
+// release leaves the lease without a holder but keeps its epoch.
+func (m *Machine) release(c ReleaseLease) Lease {
+	l := m.leases[c.Name]
+	if l.Epoch == c.Epoch {
+		l.Holder = ""
+		l.Incarnation = model.Incarnation(0)
+		m.leases[c.Name] = l
+	}
+	return l
+}
--- /dev/null
+++ b/internal/event/process.go
@@ -0,0 +1,19 @@
+package event
+
+import "log/slog"
+
+// Events of the process (100-199).
+var (
+	ProcessStarted = define(101, slog.LevelInfo, "process.started",
+		"The instance has started all services.", "instance", "incarnation", "failure_domain")
+	ProcessStopping = define(102, slog.LevelInfo, "process.stopping",
+		"The instance began its graceful stop.", "instance")
+	ProcessStopped = define(103, slog.LevelInfo, "process.stopped",
+		"The instance has stopped.", "instance", "exit_code")
+	DutyPanicked = define(104, slog.LevelError, "duty.panicked",
+		"A duty panicked; the process ends because the state of the duty can no longer be trusted.", "error", "stack")
+	ListenerOpened = define(105, slog.LevelInfo, "listener.opened",
+		"A service opened a port.", "service", "address", "tls")
+	RingRefused = define(106, slog.LevelWarn, "ring.refused",
+		"A message was dropped because the receiver's ring was full.", "ring", "message")
+)
--- /dev/null
+++ b/internal/fault/backend.go
@@ -0,0 +1,58 @@
+package fault
+
+import (
+	"fmt"
+	"net/http"
+
+	"briaryard/internal/model"
+)
+
+// Codes of failures towards backend servers.
+var (
+	CodeNotAdmitted     = register("not-admitted", "Backend server did not admit the call", http.StatusBadGateway, model.NotRun, ExitUnavailable)
+	CodeAnswerTooLarge  = register("answer-too-large", "Answer too large", http.StatusBadGateway, model.Ran, ExitUnavailable)
+	CodeServerStatus    = register("backend-server-status", "Backend server answered with a failure", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
+	CodeStreamSilent    = register("stream-silent", "Stream went silent", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
+	CodeStreamMalformed = register("stream-malformed", "Stream cannot be read", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
+)
+
+// NotAdmitted reports a backend server that states that it did not run the call.
+type NotAdmitted struct{ Status int }
+
+// Code implements Fault.
+func (e *NotAdmitted) Code() Code { return CodeNotAdmitted }
+func (e *NotAdmitted) Error() string {
+	return fmt.Sprintf("the backend server did not admit the call (status %d)", e.Status)
+}
+
+// AnswerTooLarge reports an answer over the limit.
+type AnswerTooLarge struct{ Limit int }
+
+// Code implements Fault.
+func (e *AnswerTooLarge) Code() Code    { return CodeAnswerTooLarge }
+func (e *AnswerTooLarge) Error() string { return fmt.Sprintf("the answer exceeds %d bytes", e.Limit) }
+
+// ServerStatus reports an unexpected HTTP status.
+type ServerStatus struct{ Status int }
+
+// Code implements Fault.
+func (e *ServerStatus) Code() Code { return CodeServerStatus }
+func (e *ServerStatus) Error() string {
+	return fmt.Sprintf("the backend server answered with status %d", e.Status)
+}
+
+// StreamSilent reports a stream without data or keep-alive for too long.
+type StreamSilent struct{ FromToken int }
+
+// Code implements Fault.
+func (e *StreamSilent) Code() Code { return CodeStreamSilent }
+func (e *StreamSilent) Error() string {
+	return fmt.Sprintf("the stream went silent before token %d", e.FromToken)
+}
+
+// StreamMalformed reports a stream that does not follow its protocol.
+type StreamMalformed struct{ Reason string }
+
+// Code implements Fault.
+func (e *StreamMalformed) Code() Code    { return CodeStreamMalformed }
+func (e *StreamMalformed) Error() string { return "the stream cannot be read: " + e.Reason }
--- a/internal/fault/request.go
+++ b/internal/fault/request.go
@@ -33,6 +33,7 @@
 	CodeOutcomeUnknown     = register("outcome-unknown", "Outcome of an earlier attempt is unknown", http.StatusConflict, model.MayHaveRun, ExitUnavailable)
 	CodeAnswerNotKept      = register("answer-not-kept", "Request ran but its answer is not kept", http.StatusGone, model.Ran, ExitUnavailable)
 	CodeCallerSlow         = register("caller-slow", "Caller did not read its answer", http.StatusRequestTimeout, model.MayHaveRun, ExitUnavailable)
+	CodeClaimUnanswered    = register("claim-unanswered", "Idempotency key could not be claimed in time", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
 	CodeSuperseded         = register("superseded", "Key was refused after this attempt began", http.StatusConflict, model.NotRun, ExitConflict)
 )
 
@@ -268,3 +269,33 @@
 // Code implements Fault.
 func (e *Superseded) Code() Code    { return CodeSuperseded }
 func (e *Superseded) Error() string { return "another attempt with this key was refused meanwhile" }
+
+// KeyUnchecked reports a keyed request that was refused without asking the control group
+// about its key. This attempt did not run, but an earlier one may have.
+type KeyUnchecked struct{ Cause Fault }
+
+// Code implements Fault.
+func (e *KeyUnchecked) Code() Code { return e.Cause.Code() }
+func (e *KeyUnchecked) Error() string {
+	return e.Cause.Error() + "; this attempt did not run, an earlier one with the key may have"
+}
+
+// RunState implements Stated.
+func (e *KeyUnchecked) RunState() model.RunState { return model.MayHaveRun }
+
+// RetryAfter implements Retryable.
+func (e *KeyUnchecked) RetryAfter() time.Duration { return RetryAfterOf(e.Cause) }
+
+// Unwrap returns the cause.
+func (e *KeyUnchecked) Unwrap() error { return e.Cause }
+
+// ClaimUnanswered reports a keyed request that was not dispatched because its claim was
+// not answered in time.
+type ClaimUnanswered struct{}
+
+// Code implements Fault.
+func (e *ClaimUnanswered) Code() Code    { return CodeClaimUnanswered }
+func (e *ClaimUnanswered) Error() string { return "the idempotency key could not be claimed in time" }
+
+// RetryAfter implements Retryable.
+func (e *ClaimUnanswered) RetryAfter() time.Duration { return time.Second }
--- /dev/null
+++ b/internal/kernel/kernel_test.go
@@ -0,0 +1,167 @@
+package kernel_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
+
+	"briaryard/internal/kernel"
+	"briaryard/internal/ring"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// recorder is a service that notes its life cycle.
+type recorder struct {
+	name    string
+	needs   []string
+	log     *[]string
+	resolve string
+	fail    error
+}
+
+func (r *recorder) Name() string    { return r.name }
+func (r *recorder) Needs() []string { return r.needs }
+
+func (r *recorder) Provision(res kernel.Resolver) error {
+	if r.resolve == "" {
+		return nil
+	}
+	_, err := kernel.Resolve[*recorder](res, r.resolve)
+	return err
+}
+
+func (r *recorder) Start(*kernel.Host) error {
+	*r.log = append(*r.log, "start "+r.name)
+	return r.fail
+}
+
+func (r *recorder) Stop(context.Context) error {
+	*r.log = append(*r.log, "stop "+r.name)
+	return nil
+}
+
+func build(t *testing.T, services ...*recorder) (*kernel.Kernel, *[]string) {
+	t.Helper()
+	var log []string
+	k := kernel.New(func(error) {})
+	for _, s := range services {
+		s.log = &log
+		if err := k.Register(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return k, &log
+}
+
+// Guards against a service that starts before, or stops after, what it needs.
+func TestStartFollowsNeedsAndStopReversesIt(t *testing.T) {
+	k, log := build(t,
+		&recorder{name: "c", needs: []string{"b"}, resolve: "b"},
+		&recorder{name: "a"},
+		&recorder{name: "b", needs: []string{"a"}})
+	if err := k.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"start a", "start b", "start c", "stop c", "stop b", "stop a"}
+	for i := range want {
+		if (*log)[i] != want[i] {
+			t.Fatalf("order is %v, want %v", *log, want)
+		}
+	}
+}
+
+// Guards against a port being opened although a name is missing or cyclic.
+func TestWiringFaultsAreFoundBeforeAnyStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		services []*recorder
+		want     any
+	}{
+		"missing":    {[]*recorder{{name: "a"}, {name: "b", needs: []string{"x"}}}, new(*kernel.MissingNameError)},
+		"cycle":      {[]*recorder{{name: "a", needs: []string{"b"}}, {name: "b", needs: []string{"a"}}}, new(*kernel.CycleError)},
+		"undeclared": {[]*recorder{{name: "a"}, {name: "b", resolve: "a"}}, new(*kernel.UndeclaredNeedError)},
+	} {
+		k, log := build(t, c.services...)
+		err := k.Start(context.Background())
+		if err == nil || !errors.As(err, c.want) {
+			t.Errorf("%s: got %v, want %T", name, err, c.want)
+		}
+		if len(*log) > 0 {
+			t.Errorf("%s: services started: %v", name, *log)
+		}
+	}
+	k, _ := build(t, &recorder{name: "a"})
+	var duplicate *kernel.DuplicateNameError
+	if err := k.Register(&recorder{name: "a"}); !errors.As(err, &duplicate) {
+		t.Errorf("duplicate: got %v", err)
+	}
+}
+
+// Guards against services left running when a later one fails to start.
+func TestFailedStartStopsWhatStarted(t *testing.T) {
+	k, log := build(t, &recorder{name: "a"}, &recorder{name: "b", needs: []string{"a"}, fail: context.Canceled})
+	var failure *kernel.ServiceError
+	if err := k.Start(context.Background()); !errors.As(err, &failure) || failure.Service != "b" {
+		t.Fatalf("got %v, want the failure of b", err)
+	}
+	if last := (*log)[len(*log)-1]; last != "stop a" {
+		t.Fatalf("last step is %q, want stop a", last)
+	}
+}
+
+// Guards against a panic that goes unnoticed and leaves a duty's state half changed.
+func TestPanicOfADutyIsReported(t *testing.T) {
+	reported := make(chan error, 1)
+	k := kernel.New(func(err error) { reported <- err })
+	k.Host().Go("broken", func(context.Context, *kernel.Duty) { panic("boom") })
+	var p *kernel.DutyPanicError
+	select {
+	case err := <-reported:
+		if !errors.As(err, &p) || p.Duty != "broken" {
+			t.Fatalf("got %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the panic was not reported")
+	}
+	_ = k.Stop(context.Background())
+}
+
+// Guards against timeouts that never fire because messages keep arriving.
+func TestLoopTicksUnderLoad(t *testing.T) {
+	r := ring.New[int]("busy", 8, ring.Block)
+	ticked := make(chan struct{})
+	k := kernel.New(func(error) {})
+	done := false
+	k.Host().Go("busy", kernel.Loop[int]{
+		Ring: r, Tick: time.Millisecond,
+		Handle: func(time.Time, int) {},
+		OnTick: func(time.Time) {
+			if !done {
+				done = true
+				close(ticked)
+			}
+		},
+	}.Run, r)
+	ctx, cancel := context.WithCancel(context.Background())
+	flooded := make(chan struct{})
+	go func() {
+		defer close(flooded)
+		for r.Put(ctx, 1) == nil {
+		}
+	}()
+	select {
+	case <-ticked:
+	case <-time.After(10 * time.Second):
+		t.Error("no tick while messages arrive")
+	}
+	cancel()
+	<-flooded
+	r.Close()
+	_ = k.Stop(context.Background())
+}
--- /dev/null
+++ b/internal/metric/request.go
@@ -0,0 +1,12 @@
+package metric
+
+// Metrics of requests.
+var (
+	RequestsAccepted = define(KindCounter, "requests_accepted", "requests", "tier", "Requests accepted by this instance.")
+	RequestsAnswered = define(KindCounter, "requests_answered", "requests", "tier", "Requests answered whole.")
+	RequestsGood     = define(KindCounter, "requests_good", "requests", "tier", "Requests answered whole within their deadline (goodput).")
+	RequestsRefused  = define(KindCounter, "requests_refused", "requests", "code", "Requests refused, by problem type.")
+	FirstToken       = define(KindHistogram, "first_token", "microseconds", "tier", "Time from acceptance to the first token.")
+	WaitingRequests  = define(KindGauge, "requests_waiting", "requests", "tier", "Requests that wait in this instance.")
+	WastedPrefill    = define(KindCounter, "wasted_prefill_tokens", "tokens", "cause", "Prompt tokens computed for work that was thrown away.")
+)
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -30,6 +30,8 @@
 // Call is the content of a request as it goes to a backend server. Its encoding is the
 // backend client's matter.
 type Call struct {
+	// Model is the model of a model call.
+	Model PoolID
 	// Prompt is the canonical prompt of a model call; empty for a plain call.
 	Prompt []byte
 	// MaxTokens bounds the answer of a model call.
--- /dev/null
+++ b/internal/port/control.go
@@ -0,0 +1,46 @@
+package port
+
+import (
+	"briaryard/internal/decide/state"
+	"briaryard/internal/model"
+)
+
+// Names of the control services.
+const (
+	// ControlName is the service of a voter. It exists only on instances with a data folder.
+	ControlName = "control"
+	// ControlClientName is the service that reaches the control group from any instance.
+	ControlClientName = "controlclient"
+)
+
+// ControlReply is the answer to a command.
+type ControlReply struct {
+	Result state.Result
+	// Err is set when the control group could not be reached in time. The command may or
+	// may not have been applied.
+	Err error
+}
+
+// Lease is a lease as this instance knows it.
+type Lease struct {
+	Name   string
+	Holder model.InstanceID
+	Epoch  model.Epoch
+}
+
+// ControlClient sends commands to the control group.
+type ControlClient interface {
+	// Do sends a command; it is resent until it is answered or a time limit passes.
+	// Resending is harmless because each command is idempotent. The reply goes to the sink.
+	// Do returns ring.FullError, and sends no reply, if there is no room for the command.
+	Do(c state.Command, reply func(ControlReply)) error
+	// SubscribeLeases registers a receiver of the lease table. It is called during Provision.
+	SubscribeLeases(sink func([]Lease))
+	// SubscribeConfig registers a receiver of accepted configurations. It is called during Provision.
+	SubscribeConfig(sink func(state.AcceptedConfig))
+	// ReleaseLeases gives up the leases that this instance holds. It calls done when the
+	// control group has confirmed or a time limit has passed.
+	ReleaseLeases(done func())
+	// ConfirmConfig reports the revision that this instance has in force.
+	ConfirmConfig(r model.Revision)
+}
--- /dev/null
+++ b/internal/port/dispatchmsg.go
@@ -0,0 +1,46 @@
+package port
+
+import (
+	"briaryard/internal/model"
+)
+
+// Messages from instances to the dispatcher of a pool, sent to DispatcherName.
+type (
+	// RegisterMessage adds a waiting request.
+	RegisterMessage struct{ Descriptor model.Descriptor }
+	// WithdrawMessage removes a waiting request.
+	WithdrawMessage struct {
+		Pool    model.PoolID
+		Request model.RequestID
+	}
+	// ReportMessage describes the course of a granted request.
+	ReportMessage struct{ Progress model.Progress }
+	// StateMessage answers a StateRequest.
+	StateMessage struct{ State EntryState }
+	// ServerReportMessage carries a backend server's load report and cache events from its home.
+	ServerReportMessage struct{ Report ServerReport }
+)
+
+// Messages from a dispatcher to instances, sent to DispatchName.
+type (
+	// EventMessage carries a decision.
+	EventMessage struct{ Event DispatchEvent }
+	// StateRequest asks for the instance's requests of a pool.
+	StateRequest struct {
+		Pool  model.PoolID
+		Epoch model.Epoch
+	}
+)
+
+// LeaseName returns the name of a pool's dispatcher lease.
+func LeaseName(pool model.PoolID) string { return leasePrefix + string(pool) }
+
+const leasePrefix = "dispatcher/"
+
+// LeasePool returns the pool of a dispatcher lease.
+func LeasePool(name string) (model.PoolID, bool) {
+	if len(name) <= len(leasePrefix) || name[:len(leasePrefix)] != leasePrefix {
+		return "", false
+	}
+	return model.PoolID(name[len(leasePrefix):]), true
+}
--- /dev/null
+++ b/internal/port/members.go
@@ -0,0 +1,32 @@
+package port
+
+import "briaryard/internal/model"
+
+// MembersName is the name of the membership service.
+const MembersName = "members"
+
+// Announcement is a backend server's announcement or heartbeat.
+type Announcement struct {
+	Server model.BackendServer
+	Load   *model.LoadReport
+	Cache  []model.CacheEvent
+}
+
+// ServerReport is what a backend server told its home instance about its load and cache.
+type ServerReport struct {
+	Load  *model.LoadReport
+	Cache []model.CacheEvent
+}
+
+// Members keeps the view of instances and backend servers.
+type Members interface {
+	// Announce takes an announcement or heartbeat of a backend server.
+	Announce(a Announcement) error
+	// Subscribe registers a receiver of new views. It is called during Provision.
+	Subscribe(sink func(*model.View))
+	// SubscribeReports registers a receiver of load reports and cache events that arrive
+	// at this instance. It is called during Provision.
+	SubscribeReports(sink func(ServerReport))
+	// SetSelf changes this instance's own record.
+	SetSelf(state model.MemberState, withdrawn bool)
+}
--- /dev/null
+++ b/internal/service/controlclient/local.go
@@ -0,0 +1,164 @@
+package controlclient
+
+import (
+	"context"
+	"time"
+
+	"briaryard/internal/decide/state"
+	"briaryard/internal/declare"
+	"briaryard/internal/kernel"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/ring"
+)
+
+const (
+	ringCapacity = 4096
+	tick         = 100 * time.Millisecond
+	// awaitTimeout bounds an Await.
+	awaitTimeout = 10 * time.Second
+)
+
+type message struct {
+	command state.Command
+	reply   func(port.ControlReply)
+	at      time.Time
+}
+
+// Local keeps the replicated state in this process alone and in memory. It serves
+// `briaryard dev`, where one instance runs without a control group and nothing has to
+// survive the process.
+type Local struct {
+	self        model.InstanceID
+	incarnation model.Incarnation
+	initial     []byte
+	ring        *ring.Ring[message]
+	leases      []func([]port.Lease)
+	configs     []func(state.AcceptedConfig)
+
+	// The fields below belong to the control-client duty.
+	machine *state.Machine
+	index   uint64
+	awaits  []message
+}
+
+// NewLocal returns the service with an initial configuration.
+func NewLocal(self model.InstanceID, incarnation model.Incarnation, initial []byte) *Local {
+	return &Local{
+		self: self, incarnation: incarnation, initial: initial,
+		ring:    ring.New[message]("controlclient", ringCapacity, ring.Refuse),
+		machine: state.NewMachine(state.DefaultLimits()),
+	}
+}
+
+// Name implements kernel.Service.
+func (l *Local) Name() string { return port.ControlClientName }
+
+// Needs implements kernel.Service.
+func (l *Local) Needs() []string { return nil }
+
+// Provision implements kernel.Service.
+func (l *Local) Provision(kernel.Resolver) error { return nil }
+
+// Start implements kernel.Service.
+func (l *Local) Start(h *kernel.Host) error {
+	h.Go("control-client", func(ctx context.Context, d *kernel.Duty) {
+		l.apply(time.Now(), state.ApplyConfig{ChangeID: "initial", Number: 1, Operator: "dev", Content: l.initial})
+		kernel.Loop[message]{Ring: l.ring, Tick: tick, Handle: l.handle, OnTick: l.onTick}.Run(ctx, d)
+	}, l.ring)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (l *Local) Stop(context.Context) error {
+	l.ring.Close()
+	return nil
+}
+
+// Do implements port.ControlClient.
+func (l *Local) Do(c state.Command, reply func(port.ControlReply)) error {
+	return l.ring.Offer(message{command: c, reply: reply, at: time.Now()})
+}
+
+// SubscribeLeases implements port.ControlClient.
+func (l *Local) SubscribeLeases(sink func([]port.Lease)) { l.leases = append(l.leases, sink) }
+
+// SubscribeConfig implements port.ControlClient.
+func (l *Local) SubscribeConfig(sink func(state.AcceptedConfig)) { l.configs = append(l.configs, sink) }
+
+// ReleaseLeases implements port.ControlClient.
+func (l *Local) ReleaseLeases(done func()) { done() }
+
+// ConfirmConfig implements port.ControlClient.
+func (l *Local) ConfirmConfig(model.Revision) {}
+
+func (l *Local) handle(now time.Time, m message) {
+	if _, ok := m.command.(state.Await); ok {
+		l.awaits = append(l.awaits, m)
+		l.answerAwaits(now)
+		return
+	}
+	r := l.apply(now, m.command)
+	m.reply(port.ControlReply{Result: r})
+	l.answerAwaits(now)
+}
+
+func (l *Local) apply(now time.Time, c state.Command) state.Result {
+	if lookup, ok := c.(state.Lookup); ok {
+		return l.machine.Lookup(lookup)
+	}
+	l.index++
+	r := l.machine.Apply(l.index, now, c)
+	switch c.(type) {
+	case state.ApplyConfig:
+		if r.Err == nil {
+			l.publishConfig(now)
+		}
+	case state.AcquireLease, state.ReleaseLease:
+		l.publishLeases()
+	}
+	return r
+}
+
+// publishConfig publishes the configuration in force and takes the leases of its pools.
+func (l *Local) publishConfig(now time.Time) {
+	accepted := l.machine.Config()
+	for _, sink := range l.configs {
+		sink(accepted)
+	}
+	c, err := declare.Parse(accepted.Content)
+	if err != nil {
+		return
+	}
+	for id := range c.Pools {
+		name := port.LeaseName(id)
+		if l.machine.Leases()[name].Holder == "" {
+			l.apply(now, state.AcquireLease{Name: name, Holder: l.self, Incarnation: l.incarnation, After: l.machine.Leases()[name].Epoch})
+		}
+	}
+}
+
+func (l *Local) publishLeases() {
+	var out []port.Lease
+	for _, lease := range l.machine.Leases() {
+		out = append(out, port.Lease{Name: lease.Name, Holder: lease.Holder, Epoch: lease.Epoch})
+	}
+	for _, sink := range l.leases {
+		sink(out)
+	}
+}
+
+func (l *Local) answerAwaits(now time.Time) {
+	var rest []message
+	for _, m := range l.awaits {
+		r := l.machine.Lookup(m.command.(state.Await).Lookup)
+		if r.Claim == state.ClaimHeld && now.Sub(m.at) < awaitTimeout {
+			rest = append(rest, m)
+			continue
+		}
+		m.reply(port.ControlReply{Result: r})
+	}
+	l.awaits = rest
+}
+
+func (l *Local) onTick(now time.Time) { l.answerAwaits(now) }
--- /dev/null
+++ b/internal/service/dispatcher/service.go
@@ -0,0 +1,297 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	decide "briaryard/internal/decide/dispatch"
+	"briaryard/internal/event"
+	"briaryard/internal/kernel"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/ring"
+)
+
+const (
+	ringCapacity = 8192
+	// tick is the resolution of deadlines and of adaptive windows.
+	tick = 20 * time.Millisecond
+)
+
+type message interface{ message() }
+
+type leases struct{ leases []port.Lease }
+
+type viewed struct{ view *model.View }
+
+type configured struct{ config *model.Config }
+
+type received struct{ from port.PeerMessage }
+
+func (leases) message()     {}
+func (viewed) message()     {}
+func (configured) message() {}
+func (received) message()   {}
+
+// pool is a pool whose lease is held here.
+type pool struct {
+	decide *decide.Pool
+	epoch  model.Epoch
+	began  time.Time
+	ready  bool
+}
+
+// Service runs dispatchers.
+type Service struct {
+	log   *event.Log
+	ring  *ring.Ring[message]
+	peers port.Peers
+	self  model.InstanceID
+
+	// The fields below belong to the dispatcher duty.
+	pools  map[model.PoolID]*pool
+	view   *model.View
+	config *model.Config
+}
+
+// New returns the service.
+func New(log *event.Log) *Service {
+	return &Service{
+		log:    log,
+		ring:   ring.New[message]("dispatcher", ringCapacity, ring.Refuse),
+		pools:  make(map[model.PoolID]*pool),
+		view:   &model.View{},
+		config: &model.Config{},
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return port.DispatcherName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{port.PeersName, port.MembersName, port.ControlClientName, port.ConfigName}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(r kernel.Resolver) error {
+	var err error
+	if s.peers, err = kernel.Resolve[port.Peers](r, port.PeersName); err != nil {
+		return err
+	}
+	members, err := kernel.Resolve[port.Members](r, port.MembersName)
+	if err != nil {
+		return err
+	}
+	control, err := kernel.Resolve[port.ControlClient](r, port.ControlClientName)
+	if err != nil {
+		return err
+	}
+	config, err := kernel.Resolve[port.Config](r, port.ConfigName)
+	if err != nil {
+		return err
+	}
+	s.self, _ = s.peers.Self()
+	control.SubscribeLeases(func(l []port.Lease) { s.offer(leases{l}) })
+	members.Subscribe(func(v *model.View) { s.offer(viewed{v}) })
+	config.Subscribe(func(c *model.Config) { s.offer(configured{c}) })
+	s.peers.Handle(port.DispatcherName, nil, func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
+	return nil
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(h *kernel.Host) error {
+	h.Go("dispatcher", kernel.Loop[message]{
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+	}.Run, s.ring)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.ring.Close()
+	return nil
+}
+
+func (s *Service) offer(m message) {
+	if err := s.ring.Offer(m); err != nil {
+		s.log.Emit(event.RingRefused, "dispatcher", err.Error())
+	}
+}
+
+func (s *Service) handle(now time.Time, m message) {
+	switch m := m.(type) {
+	case leases:
+		s.setLeases(now, m.leases)
+	case viewed:
+		s.setView(now, m.view)
+	case configured:
+		s.config = m.config
+		for _, p := range s.pools {
+			p.decide.SetConfig(now, m.config)
+		}
+	case received:
+		s.received(now, m.from)
+	}
+	s.perform(now)
+}
+
+func (s *Service) onTick(now time.Time) {
+	for _, p := range s.pools {
+		p.decide.Tick(now)
+	}
+	s.perform(now)
+}
+
+// setLeases starts and stops pools to match the leases held here.
+func (s *Service) setLeases(now time.Time, all []port.Lease) {
+	held := make(map[model.PoolID]model.Epoch)
+	for _, l := range all {
+		if id, ok := port.LeasePool(l.Name); ok && l.Holder == s.self {
+			held[id] = l.Epoch
+		}
+	}
+	for id, p := range s.pools {
+		if held[id] != p.epoch {
+			delete(s.pools, id)
+			s.log.Emit(event.DispatcherStopped, id, p.epoch)
+		}
+	}
+	for id, epoch := range held {
+		if s.pools[id] == nil {
+			s.startPool(now, id, epoch)
+		}
+	}
+}
+
+func (s *Service) startPool(now time.Time, id model.PoolID, epoch model.Epoch) {
+	var expected []model.InstanceID
+	for _, i := range s.view.Instances {
+		if i.State != model.Gone {
+			expected = append(expected, i.ID)
+		}
+	}
+	p := &pool{decide: decide.NewPool(id, epoch, expected), epoch: epoch, began: now}
+	s.pools[id] = p
+	s.log.Emit(event.DispatcherStarted, id, epoch)
+	p.decide.SetConfig(now, s.config)
+	p.decide.SetServers(now, serversOf(s.view, id))
+	for _, i := range expected {
+		_ = s.peers.Send(i, port.DispatchName, port.StateRequest{Pool: id, Epoch: epoch})
+	}
+}
+
+func serversOf(v *model.View, id model.PoolID) []model.BackendServer {
+	var out []model.BackendServer
+	for _, srv := range v.Servers {
+		if srv.State != model.Gone && srv.Serves(id) {
+			out = append(out, srv)
+		}
+	}
+	return out
+}
+
+// setView takes a new membership view: servers come and go, and instances that are gone
+// free what was granted to them.
+func (s *Service) setView(now time.Time, v *model.View) {
+	old := s.view
+	s.view = v
+	for id, p := range s.pools {
+		p.decide.SetServers(now, serversOf(v, id))
+		for _, was := range old.Instances {
+			is, ok := v.Instance(was.ID)
+			switch {
+			case !ok || is.State == model.Gone:
+				p.decide.InstanceGone(now, was.ID, was.Incarnation)
+			case is.Incarnation > was.Incarnation:
+				p.decide.InstanceGone(now, was.ID, was.Incarnation)
+			}
+		}
+	}
+}
+
+func (s *Service) received(now time.Time, m port.PeerMessage) {
+	switch b := m.Body.(type) {
+	case port.RegisterMessage:
+		if p := s.pools[b.Descriptor.Pool]; p != nil {
+			p.decide.Register(now, b.Descriptor)
+		}
+	case port.WithdrawMessage:
+		if p := s.pools[b.Pool]; p != nil {
+			p.decide.Withdraw(now, b.Request)
+		}
+	case port.ReportMessage:
+		if p := s.pools[b.Progress.Pool]; p != nil {
+			p.decide.Report(now, b.Progress)
+		}
+	case port.StateMessage:
+		if p := s.pools[b.State.Pool]; p != nil {
+			s.resync(now, p, m.From, b.State)
+		}
+	case port.ServerReportMessage:
+		s.serverReport(now, b.Report)
+	}
+}
+
+func (s *Service) resync(now time.Time, p *pool, from model.InstanceID, st port.EntryState) {
+	outstanding := make([]decide.Outstanding, 0, len(st.Outstanding))
+	for _, o := range st.Outstanding {
+		outstanding = append(outstanding, decide.Outstanding{Grant: o.Grant, Descriptor: o.Descriptor})
+	}
+	p.decide.Resync(now, from, st.Waiting, outstanding)
+}
+
+func (s *Service) serverReport(now time.Time, r port.ServerReport) {
+	for _, p := range s.pools {
+		if r.Load != nil {
+			p.decide.Load(now, *r.Load)
+		}
+		if len(r.Cache) > 0 {
+			p.decide.Cache(now, r.Cache)
+		}
+	}
+}
+
+// perform logs the decisions and sends them to the instances that own the requests.
+func (s *Service) perform(now time.Time) {
+	for id, p := range s.pools {
+		if !p.ready && p.decide.Ready() {
+			p.ready = true
+			waiting, outstanding := p.decide.Counts()
+			s.log.Emit(event.DispatcherReady, id, p.epoch, waiting, outstanding, now.Sub(p.began).String())
+		}
+		for _, d := range p.decide.Take() {
+			s.performOne(id, p.epoch, d)
+		}
+	}
+}
+
+func (s *Service) performOne(id model.PoolID, epoch model.Epoch, d decide.Decision) {
+	e := port.DispatchEvent{
+		ID: d.Descriptor.ID, Pool: id, Epoch: epoch, Grant: d.Grant,
+		Tier: d.Descriptor.Tier, Deadline: d.Descriptor.Deadline,
+	}
+	request := d.Descriptor.ID.String()
+	switch d.Kind {
+	case decide.Granted:
+		e.Kind = port.DispatchGranted
+		s.log.Emit(event.DispatchGranted, request, id, d.Descriptor.Tier.String(), d.Descriptor.Team,
+			d.Grant.Server, epoch, d.Reason, d.Waiting, d.Outstanding)
+	case decide.Duplicate:
+		e.Kind = port.DispatchDuplicate
+		s.log.Emit(event.DispatchDuplicate, request, id)
+	case decide.Shed, decide.DeadlineUnreachable, decide.NoServer:
+		e.Kind = port.DispatchEvicted
+		e.Reason = evictReasons[d.Kind]
+		s.log.Emit(event.DispatchEvicted, request, id, d.Descriptor.Tier.String(), d.Descriptor.Team, d.Reason, d.Waiting)
+	}
+	// A decision that cannot be sent reaches an instance that is gone or cut off. Its
+	// request is freed when the membership removes the instance.
+	_ = s.peers.Send(d.Descriptor.ID.Instance, port.DispatchName, port.EventMessage{Event: e})
+}
+
+var evictReasons = map[decide.Kind]port.EvictReason{
+	decide.Shed:                port.EvictShed,
+	decide.DeadlineUnreachable: port.EvictDeadline,
+	decide.NoServer:            port.EvictNoServer,
+}
--- /dev/null
+++ b/internal/service/engineclient/client.go
@@ -0,0 +1,168 @@
+package engineclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"briaryard/internal/event"
+	"briaryard/internal/fault"
+	"briaryard/internal/outcall"
+	"briaryard/internal/port"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// silence is how long a stream may carry neither a token nor a keep-alive, which
+	// engines send every second.
+	silence = 3 * time.Second
+	// maxResumes bounds the new connections for one stream without progress.
+	maxResumes = 5
+	// resumePause keeps resumes of a dead engine from following each other at once.
+	resumePause = 200 * time.Millisecond
+	// cancelTimeout bounds the request that cancels work at the engine.
+	cancelTimeout = 3 * time.Second
+)
+
+// New returns the service.
+func New(log *event.Log) *outcall.Group {
+	c := &client{log: log, http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives: true,
+		},
+	}}
+	return outcall.NewGroup(port.EngineClientName, c.call)
+}
+
+type client struct {
+	log  *event.Log
+	http *http.Client
+}
+
+// completionRequest is the body of a call to an engine.
+type completionRequest struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Adapter   string          `json:"adapter,omitempty"`
+	Stream    bool            `json:"stream"`
+}
+
+// call performs one call and resumes its stream as long as it makes progress.
+func (c *client) call(ctx context.Context, out port.Outbound, sink outcall.Sink) {
+	s := &stream{sink: sink}
+	err := c.attempt(ctx, s, func(ctx context.Context) (*http.Request, error) { return openRequest(ctx, out) })
+	failures := 0
+	for err != nil && ctx.Err() == nil && s.resumable(err) && failures < maxResumes {
+		next := s.next
+		c.log.Emit(event.StreamResumed, out.Request.String(), out.Server.ID, next, err.Error())
+		pause(ctx, resumePause)
+		err = c.attempt(ctx, s, func(ctx context.Context) (*http.Request, error) {
+			return http.NewRequestWithContext(ctx, http.MethodGet,
+				streamURL(out)+"?from="+strconv.Itoa(next), nil)
+		})
+		failures++
+		if s.next > next {
+			failures = 0
+		}
+	}
+	if ctx.Err() != nil {
+		c.cancel(out)
+	}
+	if err != nil {
+		sink(port.StreamEvent{
+			Kind: port.StreamFailed, PrefillTokens: s.prefill, Err: err,
+			NotRun: !s.admitted && notRun(err),
+		})
+	}
+}
+
+// notRun reports whether a failure of the first attempt proves that the engine did not
+// admit the call.
+func notRun(err error) bool {
+	if _, refused := err.(*fault.NotAdmitted); refused {
+		return true
+	}
+	return outcall.NotConnected(err)
+}
+
+func openRequest(ctx context.Context, out port.Outbound) (*http.Request, error) {
+	body, err := json.Marshal(completionRequest{
+		Model: string(out.Call.Model), Messages: out.Call.Prompt, MaxTokens: out.Call.MaxTokens,
+		Adapter: out.Call.Adapter, Stream: true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+out.Server.Address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("X-Request-Id", out.Request.String())
+	return r, nil
+}
+
+func streamURL(out port.Outbound) string {
+	return "http://" + out.Server.Address + "/v1/streams/" + url.PathEscape(out.Request.String())
+}
+
+// attempt reads one connection until the stream ends, breaks or goes silent.
+func (c *client) attempt(ctx context.Context, s *stream, build func(context.Context) (*http.Request, error)) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	watchdog := time.AfterFunc(silence, stop)
+	defer watchdog.Stop()
+	request, err := build(ctx)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return statusError(response)
+	}
+	s.admitted = true
+	return s.read(response.Body, func() { watchdog.Reset(silence) })
+}
+
+// NotAdmittedHeader is set by an engine on an answer that says that it did not run the call.
+const NotAdmittedHeader = "Briaryard-Not-Admitted"
+
+func statusError(r *http.Response) error {
+	if r.Header.Get(NotAdmittedHeader) == "true" {
+		return &fault.NotAdmitted{Status: r.StatusCode}
+	}
+	return &fault.ServerStatus{Status: r.StatusCode}
+}
+
+// cancel asks the engine to stop the work of a call whose caller has gone.
+func (c *client) cancel(out port.Outbound) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, streamURL(out), nil)
+	if err != nil {
+		return
+	}
+	if response, err := c.http.Do(r); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/service/entry/service.go
@@ -0,0 +1,284 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync/atomic"
+	"time"
+
+	decide "briaryard/internal/decide/entry"
+	"briaryard/internal/event"
+	"briaryard/internal/fault"
+	"briaryard/internal/kernel"
+	"briaryard/internal/metric"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/ring"
+)
+
+const (
+	// ringCapacity holds a burst of one second at ten times today's rate of one instance.
+	ringCapacity = 4096
+	// reserved slots are kept for internal messages, so that a burst of submissions
+	// cannot hold up grants and answers.
+	reserved = ringCapacity / 4
+	// tick is the resolution of deadlines while a request waits.
+	tick = 50 * time.Millisecond
+)
+
+// Service owns the requests of this instance.
+type Service struct {
+	log     *event.Log
+	metrics *metric.Set
+	ring    *ring.Ring[message]
+	seq     atomic.Uint64
+
+	self        model.InstanceID
+	incarnation model.Incarnation
+	dispatch    port.Dispatch
+	transfer    port.Transfer
+	control     port.ControlClient
+
+	// The fields below belong to the entry duty.
+	machine *decide.Machine
+	callers map[model.RequestID]*ring.Ring[model.AnswerEvent]
+	drained func()
+	// local holds messages that the duty sends to itself.
+	local []message
+}
+
+// New returns the service.
+func New(log *event.Log, metrics *metric.Set) *Service {
+	return &Service{
+		log:     log,
+		metrics: metrics,
+		ring:    ring.New[message]("entry", ringCapacity, ring.Block),
+		callers: make(map[model.RequestID]*ring.Ring[model.AnswerEvent]),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return port.EntryName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{port.PeersName, port.MembersName, port.ConfigName, port.DispatchName, port.TransferName, port.ControlClientName}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(r kernel.Resolver) error {
+	peers, err := kernel.Resolve[port.Peers](r, port.PeersName)
+	if err != nil {
+		return err
+	}
+	members, err := kernel.Resolve[port.Members](r, port.MembersName)
+	if err != nil {
+		return err
+	}
+	config, err := kernel.Resolve[port.Config](r, port.ConfigName)
+	if err != nil {
+		return err
+	}
+	if s.dispatch, err = kernel.Resolve[port.Dispatch](r, port.DispatchName); err != nil {
+		return err
+	}
+	if s.transfer, err = kernel.Resolve[port.Transfer](r, port.TransferName); err != nil {
+		return err
+	}
+	if s.control, err = kernel.Resolve[port.ControlClient](r, port.ControlClientName); err != nil {
+		return err
+	}
+	s.self, s.incarnation = peers.Self()
+	s.machine = decide.New(s.self)
+	members.Subscribe(func(v *model.View) { s.put(viewed{v}) })
+	config.Subscribe(func(c *model.Config) { s.put(configured{c}) })
+	s.dispatch.Attach(func(e port.DispatchEvent) error { return s.ring.Offer(dispatched{e}) })
+	s.dispatch.AttachState(func(p model.PoolID) error { return s.ring.Offer(stateWanted{p}) })
+	s.transfer.Attach(func(e port.TransferEvent) error { return s.ring.Offer(transferred{e}) })
+	return nil
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(h *kernel.Host) error {
+	h.Go("entry", kernel.Loop[message]{
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+	}.Run, s.ring)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.ring.Close()
+	return nil
+}
+
+// put adds an internal message and waits while the ring is full.
+func (s *Service) put(m message) {
+	if err := s.ring.Put(context.Background(), m); err != nil {
+		s.log.Emit(event.RingRefused, "entry", err.Error())
+	}
+}
+
+// NewRequestID implements port.Entry.
+func (s *Service) NewRequestID() model.RequestID {
+	return model.RequestID{Instance: s.self, Incarnation: s.incarnation, Seq: s.seq.Add(1)}
+}
+
+// Submit implements port.Entry.
+func (s *Service) Submit(sub port.Submission) error {
+	if s.ring.Stats().Depth >= ringCapacity-reserved {
+		return &fault.Overloaded{Resource: "entry ring"}
+	}
+	if err := s.ring.Offer(submitted{sub}); err != nil {
+		return &fault.Overloaded{Resource: "entry ring"}
+	}
+	return nil
+}
+
+// CallerGone implements port.Entry.
+func (s *Service) CallerGone(id model.RequestID) { s.put(callerGone{id}) }
+
+// Drain implements port.Entry.
+func (s *Service) Drain(done func()) { s.put(drain{done}) }
+
+func (s *Service) onTick(now time.Time) {
+	s.perform(s.machine.Tick(now))
+	s.handleLocal(now)
+	for tier, n := range s.machine.Waiting() {
+		s.metrics.Gauge(metric.WaitingRequests, model.Tier(tier).String()).Update(int64(n))
+	}
+}
+
+func (s *Service) handle(now time.Time, m message) {
+	s.handleOne(now, m)
+	s.handleLocal(now)
+}
+
+func (s *Service) handleLocal(now time.Time) {
+	for len(s.local) > 0 {
+		next := s.local[0]
+		s.local = s.local[1:]
+		s.handleOne(now, next)
+	}
+}
+
+func (s *Service) handleOne(now time.Time, m message) {
+	switch m := m.(type) {
+	case submitted:
+		s.submitted(now, m.submission)
+	case callerGone:
+		s.perform(s.machine.CallerGone(now, m.id))
+		delete(s.callers, m.id)
+	case dispatched:
+		s.dispatched(now, m.event)
+	case transferred:
+		s.transferred(now, m.event)
+	case controlled:
+		s.perform(s.machine.Controlled(now, m.id, m.team, m.result()))
+	case stateWanted:
+		s.sendState(m.pool)
+	case configured:
+		s.machine.SetConfig(m.config)
+	case viewed:
+		s.machine.SetView(m.view)
+	case withdrawn:
+		s.machine.SetWithdrawn(m.withdrawn)
+	case drain:
+		s.drained = m.done
+		s.perform(s.machine.Drain())
+	}
+}
+
+func (s *Service) submitted(now time.Time, sub port.Submission) {
+	s.callers[sub.ID] = sub.Events
+	a := decide.Arrival{
+		ID: sub.ID, Team: sub.Team, Caller: sub.Caller, Pool: sub.Pool, Kind: sub.Kind,
+		Tier: sub.Tier, Timeout: sub.Timeout, Call: sub.Call,
+	}
+	if sub.Key != "" {
+		a.Key = sub.Key
+		a.Fingerprint = fingerprint(sub)
+	}
+	s.log.Emit(event.RequestAccepted, sub.ID.String(), sub.Team, tierName(sub.Tier), sub.Pool, sub.Timeout, sub.Key != "")
+	s.perform(s.machine.Arrive(now, a))
+}
+
+func tierName(t *model.Tier) string {
+	if t == nil {
+		return "default"
+	}
+	return t.String()
+}
+
+// fingerprint covers everything that makes two requests the same. Each part is preceded by
+// its length, so that no two requests share an encoding.
+func fingerprint(sub port.Submission) model.Fingerprint {
+	h := sha256.New()
+	part := func(b []byte) {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(b)))
+		_, _ = h.Write(n[:])
+		_, _ = h.Write(b)
+	}
+	c := &sub.Call
+	for _, text := range []string{string(sub.Pool), c.Adapter, c.Method, c.Path, c.Query, c.ContentType} {
+		part([]byte(text))
+	}
+	part(c.Prompt)
+	part(c.Body)
+	part(binary.BigEndian.AppendUint64(nil, uint64(c.MaxTokens)))
+	return model.Fingerprint(h.Sum(nil))
+}
+
+func (s *Service) dispatched(now time.Time, e port.DispatchEvent) {
+	switch e.Kind {
+	case port.DispatchGranted:
+		s.perform(s.machine.Granted(now, e.Grant))
+	case port.DispatchEvicted:
+		s.perform(s.machine.Evicted(now, e.ID, evictionFault(e)))
+	case port.DispatchDuplicate:
+		s.perform(s.machine.Duplicate(now, e.ID))
+	}
+}
+
+func evictionFault(e port.DispatchEvent) fault.Fault {
+	switch e.Reason {
+	case port.EvictDeadline:
+		return &fault.DeadlineUnreachable{Deadline: e.Deadline}
+	case port.EvictNoServer:
+		return &fault.NoServer{Pool: e.Pool}
+	case port.EvictShed:
+	}
+	return &fault.Shed{Tier: e.Tier}
+}
+
+func (s *Service) transferred(now time.Time, e port.TransferEvent) {
+	stats := decide.TransferStats{
+		FirstToken: e.FirstToken, PerToken: e.PerToken, Tokens: e.Tokens, PrefillTokens: e.PrefillTokens,
+	}
+	switch e.Kind {
+	case port.TransferFirstToken:
+		s.perform(s.machine.FirstToken(e.Request, stats))
+	case port.TransferEnded:
+		s.perform(s.machine.Ended(now, e.Request, stats, e.Answer))
+	case port.TransferNotRun:
+		s.perform(s.machine.NotRun(now, e.Request, e.Err))
+	case port.TransferFailed:
+		s.perform(s.machine.Failed(e.Request, stats))
+	case port.TransferCancelled:
+		s.perform(s.machine.CancelledTransfer(e.Request, stats))
+	case port.TransferDetached:
+		s.log.Emit(event.CallerDetached, e.Request.String(), e.Caller.String())
+		s.perform(s.machine.Detached(e.Request, e.Caller))
+	}
+}
+
+func (s *Service) sendState(pool model.PoolID) {
+	waiting, outstanding := s.machine.PoolState(pool)
+	st := port.EntryState{Pool: pool, Waiting: waiting}
+	for _, o := range outstanding {
+		st.Outstanding = append(st.Outstanding, port.Outstanding{Grant: o.Grant, Descriptor: o.Descriptor})
+	}
+	s.dispatch.Resync(st)
+}
--- /dev/null
+++ b/internal/service/frontannounce/announcement.go
@@ -0,0 +1,111 @@
+package frontannounce
+
+import (
+	"time"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+)
+
+// Announcement is the JSON form of an announcement or heartbeat.
+type Announcement struct {
+	ID            string   `json:"id"`
+	Incarnation   uint64   `json:"incarnation"`
+	Address       string   `json:"address"`
+	FailureDomain string   `json:"failure_domain"`
+	Kind          string   `json:"kind"`
+	Models        []string `json:"models,omitempty"`
+	Service       string   `json:"service,omitempty"`
+	Adapters      []string `json:"adapters,omitempty"`
+	Slots         int      `json:"slots"`
+	Generation    string   `json:"generation,omitempty"`
+	ChecksFencing bool     `json:"checks_fencing"`
+	Leaving       bool     `json:"leaving,omitempty"`
+	Load          *Load    `json:"load,omitempty"`
+	CacheEvents   []Cache  `json:"cache_events,omitempty"`
+}
+
+// Load is a load report. AgeMS is the age of the reading when the report was sent; it is
+// used instead of a time of day because the clocks of two machines differ.
+type Load struct {
+	AgeMS         int64   `json:"age_ms"`
+	Running       int     `json:"running"`
+	Queued        int     `json:"queued"`
+	PrefillTokens int     `json:"prefill_tokens"`
+	CacheUsed     float64 `json:"cache_used"`
+}
+
+// Cache is a cache event.
+type Cache struct {
+	Seq     uint64 `json:"seq"`
+	Evicted bool   `json:"evicted,omitempty"`
+	Prefix  uint64 `json:"prefix,string"`
+	Tokens  int    `json:"tokens"`
+}
+
+const (
+	maxSlots = 1 << 16
+	// maxAge bounds the age of a load report, so that it cannot overflow a duration.
+	maxAge = 24 * time.Hour
+)
+
+func (a *Announcement) toModel(now time.Time) (port.Announcement, fault.Fault) {
+	if f := a.check(); f != nil {
+		return port.Announcement{}, f
+	}
+	srv := model.BackendServer{
+		ID: model.BackendServerID(a.ID), Incarnation: model.Incarnation(a.Incarnation),
+		Address: a.Address, Domain: model.FailureDomain(a.FailureDomain), Adapters: a.Adapters,
+		Slots: a.Slots, Generation: a.Generation, ChecksFencing: a.ChecksFencing,
+	}
+	if a.Leaving {
+		srv.State = model.Leaving
+	}
+	if a.Kind == model.PlainServer.String() {
+		srv.Kind = model.PlainServer
+		srv.Pools = []model.PoolID{model.PoolID(a.Service)}
+	}
+	for _, m := range a.Models {
+		srv.Pools = append(srv.Pools, model.PoolID(m))
+	}
+	out := port.Announcement{Server: srv}
+	if a.Load != nil {
+		out.Load = a.loadReport(now)
+	}
+	for _, e := range a.CacheEvents {
+		out.Cache = append(out.Cache, model.CacheEvent{
+			Server: srv.ID, Incarnation: srv.Incarnation, Seq: e.Seq, Evicted: e.Evicted, Prefix: e.Prefix, Tokens: e.Tokens,
+		})
+	}
+	return out, nil
+}
+
+func (a *Announcement) loadReport(now time.Time) *model.LoadReport {
+	age := min(max(time.Duration(a.Load.AgeMS)*time.Millisecond, 0), maxAge)
+	return &model.LoadReport{
+		Server: model.BackendServerID(a.ID), Incarnation: model.Incarnation(a.Incarnation), At: now.Add(-age),
+		Running: a.Load.Running, Queued: a.Load.Queued, PrefillTokens: a.Load.PrefillTokens,
+		CacheUsed: a.Load.CacheUsed, Adapters: a.Adapters,
+	}
+}
+
+func (a *Announcement) check() fault.Fault {
+	switch {
+	case a.ID == "":
+		return &fault.InvalidRequest{Field: "id", Reason: "must not be empty"}
+	case a.Incarnation == 0:
+		return &fault.InvalidRequest{Field: "incarnation", Reason: "must be positive"}
+	case a.Address == "":
+		return &fault.InvalidRequest{Field: "address", Reason: "must not be empty"}
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return &fault.InvalidRequest{Field: "slots", Reason: "must be from 1 to 65536"}
+	case a.Kind == model.EngineServer.String() && len(a.Models) == 0:
+		return &fault.InvalidRequest{Field: "models", Reason: "an engine must name a model"}
+	case a.Kind == model.PlainServer.String() && a.Service == "":
+		return &fault.InvalidRequest{Field: "service", Reason: "a plain server must name its service"}
+	case a.Kind != model.EngineServer.String() && a.Kind != model.PlainServer.String():
+		return &fault.InvalidRequest{Field: "kind", Reason: "want engine or plain"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/service/frontcaller/service.go
@@ -0,0 +1,83 @@
+package frontcaller
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+
+	"briaryard/internal/event"
+	"briaryard/internal/httpserve"
+	"briaryard/internal/kernel"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+)
+
+// Options are the settings of the front end.
+type Options struct {
+	// Address is where callers connect.
+	Address string
+	// MaxBody bounds a request body in bytes before the pool's own bound applies.
+	MaxBody int64
+	// AddressTTL is how long callers may keep the list of addresses, in seconds.
+	AddressTTL int
+	Domain     model.FailureDomain
+}
+
+// Service is the front end for callers.
+type Service struct {
+	options Options
+	log     *event.Log
+	entry   port.Entry
+	server  *httpserve.Server
+	// view is the newest membership view, for the list of addresses only.
+	view atomic.Pointer[model.View]
+}
+
+// New returns the service.
+func New(log *event.Log, options Options) *Service {
+	s := &Service{options: options, log: log}
+	s.view.Store(&model.View{})
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return port.CallerFrontName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return []string{port.EntryName, port.MembersName} }
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(r kernel.Resolver) error {
+	var err error
+	if s.entry, err = kernel.Resolve[port.Entry](r, port.EntryName); err != nil {
+		return err
+	}
+	members, err := kernel.Resolve[port.Members](r, port.MembersName)
+	if err != nil {
+		return err
+	}
+	members.Subscribe(func(v *model.View) { s.view.Store(v) })
+	return nil
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(*kernel.Host) error {
+	routes := mux.NewRouter()
+	routes.HandleFunc("/v1/chat/completions", s.chat).Methods(http.MethodPost)
+	routes.PathPrefix("/v1/services/{service}").HandlerFunc(s.plain)
+	routes.HandleFunc("/v1/addresses", s.addresses).Methods(http.MethodGet)
+	var err error
+	if s.server, err = httpserve.Listen(s.options.Address, routes); err != nil {
+		return err
+	}
+	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), false)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
+
+// Address returns the address that callers connect to.
+func (s *Service) Address() string { return s.server.Address() }
--- /dev/null
+++ b/internal/service/lifecycle/service.go
@@ -0,0 +1,109 @@
+package lifecycle
+
+import (
+	"context"
+	"time"
+
+	"briaryard/internal/event"
+	"briaryard/internal/kernel"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/ring"
+)
+
+// ringCapacity holds the few steps of one stop.
+const ringCapacity = 16
+
+type step uint8
+
+const (
+	begin step = iota
+	listsExpired
+	drained
+	released
+)
+
+// Service runs the stop sequence.
+type Service struct {
+	log *event.Log
+	// addressTTL is how long callers may keep a list that names this instance.
+	addressTTL time.Duration
+	ring       *ring.Ring[step]
+	self       model.InstanceID
+	entry      port.Entry
+	members    port.Members
+	control    port.ControlClient
+
+	// finished is set before the first step is put in the ring.
+	finished func()
+	// waiting counts the steps that must end before the stop is complete.
+	waiting int
+}
+
+// New returns the service.
+func New(log *event.Log, addressTTL time.Duration) *Service {
+	return &Service{log: log, addressTTL: addressTTL, ring: ring.New[step]("lifecycle", ringCapacity, ring.Block)}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return port.LifecycleName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{port.PeersName, port.EntryName, port.MembersName, port.ControlClientName}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(r kernel.Resolver) error {
+	peers, err := kernel.Resolve[port.Peers](r, port.PeersName)
+	if err != nil {
+		return err
+	}
+	s.self, _ = peers.Self()
+	if s.entry, err = kernel.Resolve[port.Entry](r, port.EntryName); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Resolve[port.Members](r, port.MembersName); err != nil {
+		return err
+	}
+	s.control, err = kernel.Resolve[port.ControlClient](r, port.ControlClientName)
+	return err
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(h *kernel.Host) error {
+	h.Go("stop-sequence", kernel.Loop[step]{Ring: s.ring, Handle: s.handle}.Run, s.ring)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.ring.Close()
+	return nil
+}
+
+// BeginStop implements port.Lifecycle. It must be called once.
+func (s *Service) BeginStop(finished func()) {
+	s.finished = finished
+	s.put(begin)
+}
+
+func (s *Service) put(st step) { _ = s.ring.Put(context.Background(), st) }
+
+func (s *Service) handle(_ time.Time, st step) {
+	switch st {
+	case begin:
+		s.log.Emit(event.ProcessStopping, s.self)
+		s.members.SetSelf(model.Leaving, false)
+		time.AfterFunc(s.addressTTL, func() { s.put(listsExpired) })
+	case listsExpired:
+		s.waiting = 2
+		s.entry.Drain(func() { s.put(drained) })
+		s.control.ReleaseLeases(func() { s.put(released) })
+	case drained, released:
+		s.waiting--
+		if s.waiting == 0 {
+			s.finished()
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/plainclient/client.go
@@ -0,0 +1,85 @@
+package plainclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/outcall"
+	"briaryard/internal/port"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// callTimeout bounds a call to a plain service, which has no way to resume.
+	callTimeout = 60 * time.Second
+	// maxBody bounds an answer; a longer one counts as interrupted.
+	maxBody = 8 << 20
+	// NotAdmittedHeader is set by a plain service on an answer that says that it did not
+	// run the call.
+	NotAdmittedHeader = "Briaryard-Not-Admitted"
+)
+
+// New returns the service.
+func New() *outcall.Group {
+	c := &client{http: &http.Client{
+		Timeout: callTimeout,
+		Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives: true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+	return outcall.NewGroup(port.PlainClientName, c.call)
+}
+
+type client struct{ http *http.Client }
+
+func (c *client) call(ctx context.Context, out port.Outbound, sink outcall.Sink) {
+	response, err := c.send(ctx, out)
+	if err != nil {
+		sink(port.StreamEvent{Kind: port.StreamFailed, NotRun: outcall.NotConnected(err), Err: err})
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get(NotAdmittedHeader) == "true" {
+		sink(port.StreamEvent{Kind: port.StreamFailed, NotRun: true, Err: &fault.NotAdmitted{Status: response.StatusCode}})
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = &fault.AnswerTooLarge{Limit: maxBody}
+	}
+	if err != nil {
+		sink(port.StreamEvent{Kind: port.StreamFailed, Err: errors.Wrap(err, "read answer")})
+		return
+	}
+	sink(port.StreamEvent{Kind: port.StreamHead, Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")})
+	sink(port.StreamEvent{Kind: port.StreamData, Data: body})
+	sink(port.StreamEvent{Kind: port.StreamEnd})
+}
+
+func (c *client) send(ctx context.Context, out port.Outbound) (*http.Response, error) {
+	url := "http://" + out.Server.Address + out.Call.Path
+	if out.Call.Query != "" {
+		url += "?" + out.Call.Query
+	}
+	request, err := http.NewRequestWithContext(ctx, out.Call.Method, url, bytes.NewReader(out.Call.Body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("X-Request-Id", out.Request.String())
+	if out.Call.ContentType != "" {
+		request.Header.Set("Content-Type", out.Call.ContentType)
+	}
+	if out.Call.Key != "" {
+		request.Header.Set("Idempotency-Key", out.Call.Key)
+	}
+	return c.http.Do(request)
+}
--- /dev/null
+++ b/internal/standin/announce/doc.go
@@ -0,0 +1,2 @@
+// Package announce lets a stand-in backend server announce itself and send heartbeats.
+package announce
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+const (
+	keepAlive = time.Second
+	// retention is how long an ended stream can still be resumed.
+	retention = 60 * time.Second
+)
+
+// Handler serves the engine's protocol.
+func (e *Engine) Handler() http.Handler {
+	routes := mux.NewRouter().UseEncodedPath()
+	routes.HandleFunc("/v1/chat/completions", e.open).Methods(http.MethodPost)
+	routes.HandleFunc("/v1/streams/{id}", e.resume).Methods(http.MethodGet)
+	routes.HandleFunc("/v1/streams/{id}", e.cancel).Methods(http.MethodDelete)
+	routes.HandleFunc("/v1/orders", e.order).Methods(http.MethodPost)
+	return routes
+}
+
+type openRequest struct {
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+func (e *Engine) open(w http.ResponseWriter, r *http.Request) {
+	var body openRequest
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, "malformed request", http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	ctx, cancel := context.WithCancel(context.Background())
+	s := newStream(body.Messages, max(body.MaxTokens, 1), cancel)
+	e.mu.Lock()
+	e.executed[id]++
+	e.streams[id] = s
+	e.mu.Unlock()
+	go func() {
+		e.run(ctx, s)
+		cancel()
+		time.AfterFunc(retention, func() { e.forget(id, s) })
+	}()
+	e.send(w, r, s, 0)
+}
+
+func (e *Engine) forget(id string, s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.streams[id] == s {
+		delete(e.streams, id)
+	}
+}
+
+func (e *Engine) find(r *http.Request) *stream {
+	id, err := url.PathUnescape(mux.Vars(r)["id"])
+	if err != nil {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[id]
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	s := e.find(r)
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if s == nil || err != nil || from < 0 {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	e.send(w, r, s, from)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	if s := e.find(r); s != nil {
+		s.cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// send streams an answer from a token on.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, s *stream, position int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	_ = flush.Flush()
+	ticker := time.NewTicker(keepAlive)
+	defer ticker.Stop()
+	for {
+		st := s.from(position)
+		for _, token := range st.tokens {
+			text, err := json.Marshal(token)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":%s}}],\"usage\":{\"prefill_tokens\":%d}}\n\n", position, text, st.prefill)
+			position++
+		}
+		if st.whole {
+			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+		}
+		_ = flush.Flush()
+		if st.finished || st.whole {
+			return
+		}
+		select {
+		case <-st.changed:
+		case <-ticker.C:
+			_, _ = fmt.Fprint(w, ": keep-alive\n\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type order struct {
+	Fence uint64 `json:"fence"`
+}
+
+// order accepts placement orders. An engine that checks fencing refuses an old number.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var body order
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, "malformed order", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.ChecksFencing && body.Fence < e.fence {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, body.Fence)
+	w.WriteHeader(http.StatusAccepted)
+}
