Add the load command, which judges what callers were told

Cause: no tool drove a fleet from outside and compared answers with executions. Stand-ins run as processes and report what they executed.

--- /dev/null
+++ b/cmd/briaryard/load.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"time"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/load"
+)
+
+// loadCommand loads a fleet and judges its answers.
+type loadCommand struct {
+	Addresses  []string      `help:"Caller addresses (host:port) of instances to start from; loopback only." required:""`
+	Executions []string      `help:"Addresses of stand-in backend servers that report what they executed; loopback only."`
+	Mix        string        `help:"Workload: office or workshop." default:"office" enum:"office,workshop"`
+	Rate       float64       `help:"Mean requests per second." default:"50"`
+	Duration   time.Duration `help:"Length of the run." default:"20s"`
+	Seed       uint64        `help:"Seed of the schedule." default:"1"`
+	Domain     string        `help:"Failure domain that the callers are in."`
+	Output     string        `help:"Form of the report: text or json." default:"text" enum:"text,json"`
+}
+
+// Run implements the command.
+func (c *loadCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	mix, err := load.MixByName(c.Mix)
+	if err != nil {
+		return err
+	}
+	report, err := load.Run(ctx, load.Options{
+		Addresses: c.Addresses, Executions: c.Executions, Mix: mix, Rate: c.Rate, Duration: c.Duration, Seed: c.Seed, Domain: c.Domain,
+	})
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+			return err
+		}
+	} else {
+		report.Print(os.Stdout)
+	}
+	if faults := report.Faults(); len(faults) > 0 {
+		return &fault.PromiseBroken{Faults: faults}
+	}
+	return nil
+}
--- a/cmd/briaryard/main.go
+++ b/cmd/briaryard/main.go
@@ -15,6 +15,9 @@
 type commands struct {
 	Serve serveCommand `cmd:"" help:"Run one instance."`
 	Dev   devCommand   `cmd:"" help:"Run an instance with stand-in backend servers, to try briaryard out."`
+	Load  loadCommand  `cmd:"" help:"Load a fleet on loopback and judge its answers."`
+
+	Standin standinCommand `cmd:"" hidden:"" help:"Run a stand-in backend server."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- /dev/null
+++ b/cmd/briaryard/standin.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/service/frontannounce"
+	"briaryard/internal/standin/announce"
+	"briaryard/internal/standin/booking"
+	"briaryard/internal/standin/engine"
+)
+
+// standinCommand runs one stand-in backend server as a process, for tests.
+type standinCommand struct {
+	Engine  engineStandin  `cmd:"" help:"Run a stand-in model engine."`
+	Booking bookingStandin `cmd:"" help:"Run a stand-in booking service."`
+}
+
+// standinSettings are common to the stand-ins.
+type standinSettings struct {
+	ID            string   `help:"Name of the backend server." required:""`
+	Address       string   `help:"Address (host:port) to listen on; loopback only." default:"127.0.0.1:0"`
+	Advertise     string   `help:"Address that instances are told to connect to; the listener's by default."`
+	FailureDomain string   `help:"Failure domain of the backend server." default:"domain-1"`
+	Slots         int      `help:"Requests that run at once." default:"8"`
+	Instances     []string `help:"Addresses where instances take announcements." required:""`
+}
+
+type engineStandin struct {
+	standinSettings
+	Model            string        `help:"Model that the engine serves." default:"notes"`
+	TokenTime        time.Duration `help:"Time between tokens in an empty batch." default:"10ms"`
+	PrefillPerSecond int           `help:"Prompt tokens computed in a second." default:"20000"`
+	LoadLag          time.Duration `help:"Age of load reports." default:"1s"`
+	Generation       string        `help:"Hardware generation." default:"g1"`
+}
+
+type bookingStandin struct {
+	standinSettings
+	Service string        `help:"Name of the plain service." default:"booking"`
+	Delay   time.Duration `help:"Time that one call takes." default:"20ms"`
+}
+
+// Run implements the command.
+func (c *engineStandin) Run() error {
+	e := engine.New(engine.Options{
+		ID: c.ID, Model: c.Model, Domain: c.FailureDomain, Slots: c.Slots, TokenTime: c.TokenTime,
+		PrefillPerSecond: c.PrefillPerSecond, LoadLag: c.LoadLag, CacheEventGap: 10, Generation: c.Generation,
+	})
+	return c.serve(e.Handler(), e.Announcement)
+}
+
+// Run implements the command.
+func (c *bookingStandin) Run() error {
+	b := booking.New(booking.Options{ID: c.ID, Service: c.Service, Domain: c.FailureDomain, Slots: c.Slots, Delay: c.Delay})
+	return c.serve(b.Handler(), b.Announcement)
+}
+
+// serve runs the stand-in until a signal. It prints its address first.
+func (c *standinSettings) serve(h http.Handler, current func(string) frontannounce.Announcement) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	l, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return &fault.ListenFailed{Address: c.Address, Err: err}
+	}
+	advertised := c.Advertise
+	if advertised == "" {
+		advertised = l.Addr().String()
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	go announce.Run(ctx, c.Instances, func() frontannounce.Announcement { return current(advertised) })
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	fmt.Println(l.Addr().String())
+	if err := server.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Counts are the counts of a run. Doubled, Lost, Cut, Mixed, FalseNotRun, NotExecuted and
+// AfterLeaving must be zero.
+type Counts struct {
+	Attempts int `json:"attempts"`
+	Retries  int `json:"retries"`
+	// Extra counts the attempts of impatient callers beside their main ones.
+	Extra   int `json:"extra"`
+	NotSent int `json:"not_sent"`
+	// Broken counts attempts whose connection failed; each was tried again.
+	Broken int `json:"broken"`
+	// Doubled counts keys and requests that were executed more than once.
+	Doubled int `json:"doubled"`
+	// Lost counts requests that ended without an answer or a refusal.
+	Lost int `json:"lost"`
+	Cut  int `json:"cut"`
+	// Mixed counts answers that hold another request's text.
+	Mixed int `json:"mixed"`
+	// FalseNotRun counts requests that ran although their caller was told not_run.
+	FalseNotRun int `json:"false_not_run"`
+	// NotExecuted counts keys that were answered whole and never executed.
+	NotExecuted int `json:"not_executed"`
+	// AfterLeaving counts requests that a leaving server got more than 3 s after its announcement.
+	AfterLeaving int `json:"after_leaving"`
+}
+
+// TierReport is the result of one tier. Latencies are in milliseconds.
+type TierReport struct {
+	Tier       string  `json:"tier"`
+	Offered    int     `json:"offered"`
+	Good       int     `json:"good"`
+	Late       int     `json:"late"`
+	Refused    int     `json:"refused"`
+	FirstP50MS float64 `json:"first_token_p50_ms"`
+	FirstP99MS float64 `json:"first_token_p99_ms"`
+	TotalP50MS float64 `json:"total_p50_ms"`
+	TotalP99MS float64 `json:"total_p99_ms"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Mix      string         `json:"mix"`
+	Seed     uint64         `json:"seed"`
+	Rate     float64        `json:"rate_per_second"`
+	Seconds  float64        `json:"seconds"`
+	Counts   Counts         `json:"counts"`
+	Tiers    []TierReport   `json:"tiers"`
+	Refusals map[string]int `json:"refusals"`
+	BrokenAt map[string]int `json:"broken_at"`
+}
+
+var tierOrder = map[string]int{"urgent": 0, "interactive": 1, "standard": 2, "batch": 3}
+
+func (t *tierCount) summary(name string) TierReport {
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return TierReport{
+		Tier: name, Offered: t.offered, Good: t.good, Late: t.late, Refused: t.refused,
+		FirstP50MS: ms(t.first, 50), FirstP99MS: ms(t.first, 99), TotalP50MS: ms(t.total, 50), TotalP99MS: ms(t.total, 99),
+	}
+}
+
+// Faults lists the promises that the run found broken.
+func (r *Report) Faults() []string {
+	var out []string
+	for name, n := range map[string]int{
+		"executed more than once": r.Counts.Doubled, "lost without an answer": r.Counts.Lost, "cut": r.Counts.Cut,
+		"mixed": r.Counts.Mixed, "ran although answered not_run": r.Counts.FalseNotRun,
+		"answered and never executed": r.Counts.NotExecuted, "sent to a leaving server": r.Counts.AfterLeaving,
+	} {
+		if n > 0 {
+			out = append(out, fmt.Sprintf("%d %s", n, name))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Print writes the report for people.
+func (r *Report) Print(w io.Writer) {
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
+	p("mix %s, seed %d, %.0f requests/s for %.0f s\n\n", r.Mix, r.Seed, r.Rate, r.Seconds)
+	p("%-12s %8s %8s %6s %8s %10s %10s %10s %10s\n", "tier", "offered", "good", "late", "refused", "first p50", "first p99", "total p50", "total p99")
+	for _, t := range r.Tiers {
+		p("%-12s %8d %7.2f%% %6d %8d %7.0f ms %7.0f ms %7.0f ms %7.0f ms\n", t.Tier, t.Offered,
+			100*float64(t.Good)/float64(max(t.Offered, 1)), t.Late, t.Refused, t.FirstP50MS, t.FirstP99MS, t.TotalP50MS, t.TotalP99MS)
+	}
+	c := r.Counts
+	p("\nattempts %d (retries %d, impatient %d), broken connections %d, not sent %d\n", c.Attempts, c.Retries, c.Extra, c.Broken, c.NotSent)
+	p("doubled %d, lost %d, cut %d, mixed %d, false not_run %d, not executed %d, sent to a leaving server %d\n",
+		c.Doubled, c.Lost, c.Cut, c.Mixed, c.FalseNotRun, c.NotExecuted, c.AfterLeaving)
+	codes := make([]string, 0, len(r.Refusals))
+	for code := range r.Refusals {
+		codes = append(codes, code)
+	}
+	slices.Sort(codes)
+	for _, code := range codes {
+		p("refused %s: %d\n", strings.TrimPrefix(code, "urn:briaryard:problem:"), r.Refusals[code])
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,163 @@
+package load
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"briaryard/internal/fault"
+)
+
+// Options describe a run.
+type Options struct {
+	// Addresses are the instances to ask for the list of addresses.
+	Addresses []string
+	// Domain is the failure domain that the callers say they are in.
+	Domain   string
+	Mix      Mix
+	Seed     uint64
+	Rate     float64
+	Duration time.Duration
+	// Tokens are the teams' tokens, if the fleet asks for them.
+	Tokens map[string]string
+	// Executions are the addresses of stand-in backend servers that report what they ran.
+	Executions []string
+	// MaxInFlight bounds the open requests.
+	MaxInFlight int
+}
+
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 8
+	// impatience is the pause after which an impatient caller sends its request again.
+	impatience = 10 * time.Millisecond
+	// grace is added to a request's deadline before the caller gives up on a connection.
+	grace       = 15 * time.Second
+	dialTimeout = 2 * time.Second
+	retryPause  = 100 * time.Millisecond
+	maxInFlight = 4000
+)
+
+// runner carries out one run.
+type runner struct {
+	options Options
+	client  *http.Client
+	book    *addressBook
+	judge   *judge
+	slots   chan struct{}
+}
+
+// Run carries out a run and judges it. It accepts loopback addresses only.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	for _, address := range append(append([]string(nil), o.Addresses...), o.Executions...) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil || !net.ParseIP(host).IsLoopback() {
+			return nil, &fault.InvalidSetting{Setting: "--addresses", Reason: "want loopback addresses (host:port)"}
+		}
+	}
+	if o.MaxInFlight <= 0 {
+		o.MaxInFlight = maxInFlight
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 64,
+	}}
+	r := &runner{
+		options: o, client: client, judge: newJudge(),
+		book:  &addressBook{seeds: o.Addresses, domain: o.Domain, client: client},
+		slots: make(chan struct{}, o.MaxInFlight),
+	}
+	r.generate(ctx)
+	client.CloseIdleConnections()
+	executions, err := r.executions(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return r.judge.report(o, executions), nil
+}
+
+// generate sends every arrival at its time and waits for the last answer.
+func (r *runner) generate(ctx context.Context) {
+	var open sync.WaitGroup
+	began := time.Now()
+	for _, a := range schedule(r.options.Mix, r.options.Seed, r.options.Rate, r.options.Duration) {
+		if !waitUntil(ctx, began.Add(a.at)) {
+			break
+		}
+		select {
+		case r.slots <- struct{}{}:
+		default:
+			r.judge.notSent(&a)
+			continue
+		}
+		open.Go(func() {
+			defer func() { <-r.slots }()
+			r.serve(ctx, &a)
+		})
+	}
+	open.Wait()
+}
+
+// waitUntil parks until a time; it returns false when the context ends first.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// serve is one caller: it sends its request and retries as its class says.
+func (r *runner) serve(ctx context.Context, a *arrival) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, a.class.Deadline+grace)
+	defer cancel()
+	if a.class.Impatient {
+		go r.pester(ctx, a)
+	}
+	var last attempt
+	for n := range maxAttempts {
+		last = r.call(ctx, a, r.book.pick(ctx))
+		r.judge.attempt(a, last, n)
+		if done(last) || ctx.Err() != nil {
+			break
+		}
+		if !waitUntil(ctx, time.Now().Add(retryPause<<n)) {
+			break
+		}
+	}
+	r.judge.final(a, last, time.Since(began))
+}
+
+// done reports whether the caller stops: it has its answer, or a refusal that it cannot
+// better by trying again.
+func done(a attempt) bool {
+	switch a.outcome {
+	case whole, cut, mixed:
+		return true
+	case refused:
+		return a.problem.RunState != "not_run" || a.problem.Status < 500 && a.problem.Status != http.StatusTooManyRequests
+	case broken:
+	}
+	return false
+}
+
+// pester sends the same keyed request again and again while the caller waits, as a
+// partner's software does that retries without pause.
+func (r *runner) pester(ctx context.Context, a *arrival) {
+	for range 3 {
+		if !waitUntil(ctx, time.Now().Add(impatience)) {
+			return
+		}
+		extra := r.call(ctx, a, r.book.pick(ctx))
+		r.judge.extra(a, extra)
+		if extra.outcome == whole {
+			return
+		}
+	}
+}
--- a/internal/standin/booking/booking.go
+++ b/internal/standin/booking/booking.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"briaryard/internal/httpserve"
 	"briaryard/internal/service/frontannounce"
+	"briaryard/internal/standin/record"
 )
 
 // Options describe a booking service.
@@ -28,65 +28,40 @@
 	options     Options
 	incarnation uint64
 
-	mu       sync.Mutex
-	executed map[string]int
-	total    int
-	leaving  bool
+	record *record.Record
 }
 
 // New returns a booking service.
 func New(options Options) *Service {
 	options.Slots = max(options.Slots, 1)
-	return &Service{options: options, incarnation: uint64(time.Now().UnixNano()), executed: make(map[string]int)}
+	return &Service{options: options, incarnation: uint64(time.Now().UnixNano()), record: record.New()}
 }
 
 // SetLeaving makes the service announce that it leaves.
-func (s *Service) SetLeaving() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = true
-}
+func (s *Service) SetLeaving() { s.record.SetLeaving() }
 
 // Executed returns how often each key was executed.
-func (s *Service) Executed() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.executed))
-	for key, n := range s.executed {
-		out[key] = n
-	}
-	return out
-}
+func (s *Service) Executed() map[string]int { return s.record.Executed() }
 
 // Total returns the number of executions with and without a key.
-func (s *Service) Total() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.total
-}
+func (s *Service) Total() int { return s.record.Total() }
 
 // Announcement returns the current announcement for an address.
 func (s *Service) Announcement(address string) frontannounce.Announcement {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	return frontannounce.Announcement{
 		ID: s.options.ID, Incarnation: s.incarnation, Address: address, FailureDomain: s.options.Domain,
-		Kind: "plain", Service: s.options.Service, Slots: s.options.Slots, Leaving: s.leaving,
+		Kind: "plain", Service: s.options.Service, Slots: s.options.Slots, Leaving: s.record.Leaving(),
 	}
 }
 
-// Handler serves the booking calls and, at /executions, the counts.
+// Handler serves the booking calls and the endpoints of the record.
 func (s *Service) Handler() http.Handler {
 	routes := mux.NewRouter()
-	routes.HandleFunc("/executions", s.executions).Methods(http.MethodGet)
+	s.record.Register(routes)
 	routes.PathPrefix("/").HandlerFunc(s.execute)
 	return routes
 }
 
-func (s *Service) executions(w http.ResponseWriter, _ *http.Request) {
-	httpserve.WriteJSON(w, http.StatusOK, s.Executed())
-}
-
 // result is the answer to a call.
 type result struct {
 	Path      string `json:"path"`
@@ -102,13 +77,7 @@
 		return
 	}
 	key := r.Header.Get("Idempotency-Key")
-	s.mu.Lock()
-	s.total++
-	if key != "" {
-		s.executed[key]++
-	}
-	n := s.executed[key]
-	s.mu.Unlock()
+	n := s.record.Admit(key)
 	timer := time.NewTimer(s.options.Delay)
 	defer timer.Stop()
 	<-timer.C
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -10,6 +10,7 @@
 
 	"briaryard/internal/model"
 	"briaryard/internal/service/frontannounce"
+	"briaryard/internal/standin/record"
 )
 
 // Options describe an engine.
@@ -59,11 +60,10 @@
 	running  int
 	queued   int
 	slowdown float64
-	leaving  bool
 	cache    *prefixCache
 	// loads holds load readings until they are old enough to be reported.
 	loads    []loadReading
-	executed map[string]int
+	record   *record.Record
 	prefills int
 	fence    uint64
 }
@@ -80,7 +80,7 @@
 		options: options, incarnation: uint64(time.Now().UnixNano()),
 		slots: make(chan struct{}, options.Slots), prefill: make(chan struct{}, 1),
 		streams: make(map[string]*stream), slowdown: 1,
-		cache: newPrefixCache(options.CachePrefixes, options.CacheEventGap), executed: make(map[string]int),
+		cache: newPrefixCache(options.CachePrefixes, options.CacheEventGap), record: record.New(),
 	}
 }
 
@@ -92,22 +92,10 @@
 }
 
 // SetLeaving makes the engine announce that it leaves.
-func (e *Engine) SetLeaving() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = true
-}
+func (e *Engine) SetLeaving() { e.record.SetLeaving() }
 
 // Executed returns how often each request id was admitted.
-func (e *Engine) Executed() map[string]int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	out := make(map[string]int, len(e.executed))
-	for id, n := range e.executed {
-		out[id] = n
-	}
-	return out
-}
+func (e *Engine) Executed() map[string]int { return e.record.Executed() }
 
 // PrefillTokens returns the number of prompt tokens computed so far.
 func (e *Engine) PrefillTokens() int {
@@ -125,7 +113,7 @@
 	a := frontannounce.Announcement{
 		ID: e.options.ID, Incarnation: e.incarnation, Address: address, FailureDomain: e.options.Domain,
 		Kind: "engine", Models: []string{e.options.Model}, Slots: e.options.Slots,
-		Generation: e.options.Generation, ChecksFencing: e.options.ChecksFencing, Leaving: e.leaving,
+		Generation: e.options.Generation, ChecksFencing: e.options.ChecksFencing, Leaving: e.record.Leaving(),
 		CacheEvents: e.cache.takeEvents(),
 	}
 	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.options.LoadLag {
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -25,6 +25,8 @@
 	routes.HandleFunc("/v1/streams/{id}", e.resume).Methods(http.MethodGet)
 	routes.HandleFunc("/v1/streams/{id}", e.cancel).Methods(http.MethodDelete)
 	routes.HandleFunc("/v1/orders", e.order).Methods(http.MethodPost)
+	routes.HandleFunc("/standin/slowdown", e.setSlowdown).Methods(http.MethodPost)
+	e.record.Register(routes)
 	return routes
 }
 
@@ -42,8 +44,8 @@
 	id := r.Header.Get("X-Request-Id")
 	ctx, cancel := context.WithCancel(context.Background())
 	s := newStream(body.Messages, max(body.MaxTokens, 1), cancel)
+	e.record.Admit(id)
 	e.mu.Lock()
-	e.executed[id]++
 	e.streams[id] = s
 	e.mu.Unlock()
 	go func() {
@@ -143,3 +145,14 @@
 	e.fence = max(e.fence, body.Fence)
 	w.WriteHeader(http.StatusAccepted)
 }
+
+// setSlowdown makes the engine slower by a factor without telling anybody.
+func (e *Engine) setSlowdown(w http.ResponseWriter, r *http.Request) {
+	factor, err := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+	if err != nil || factor <= 0 {
+		http.Error(w, "want a positive factor", http.StatusBadRequest)
+		return
+	}
+	e.SetSlowdown(factor)
+	w.WriteHeader(http.StatusNoContent)
+}
