Add a command that measures what an instance adds to a call

Cause: the cost of the path through an instance was not known. Change: 'briaryard bench' compares plain calls directly and through an instance in one run, and measures the heap for waiting requests and open streams.

--- a/cmd/briaryard/dev.go
+++ b/cmd/briaryard/dev.go
@@ -52,24 +52,26 @@
 		ID: "engine-1", Model: "notes", Domain: c.FailureDomain, Slots: 8,
 		TokenTime: c.TokenTime, LoadLag: time.Second, CacheEventGap: 10, Generation: "g1",
 	})
-	if err := serveStandin(ctx, i, e.Handler(), e.Announcement); err != nil {
+	if _, err := serveStandin(ctx, i, e.Handler(), e.Announcement); err != nil {
 		return err
 	}
 	b := booking.New(booking.Options{ID: "booking-1", Service: "booking", Domain: c.FailureDomain, Slots: 4, Delay: 20 * time.Millisecond})
-	return serveStandin(ctx, i, b.Handler(), b.Announcement)
+	_, err := serveStandin(ctx, i, b.Handler(), b.Announcement)
+	return err
 }
 
-func serveStandin(ctx context.Context, i *app.Instance, h http.Handler, current func(string) frontannounce.Announcement) error {
+// serveStandin runs a stand-in that announces itself to the instance, and returns its address.
+func serveStandin(ctx context.Context, i *app.Instance, h http.Handler, current func(string) frontannounce.Announcement) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return &fault.ListenFailed{Address: "127.0.0.1:0", Err: err}
+		return "", &fault.ListenFailed{Address: "127.0.0.1:0", Err: err}
 	}
 	address := l.Addr().String()
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = server.Serve(l) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go announce.Run(ctx, []string{i.ServerAddress()}, func() frontannounce.Announcement { return current(address) })
-	return nil
+	return address, nil
 }
 
 func printExamples(i *app.Instance) {
--- a/cmd/briaryard/main.go
+++ b/cmd/briaryard/main.go
@@ -16,6 +16,7 @@
 	Serve serveCommand `cmd:"" help:"Run one instance."`
 	Dev   devCommand   `cmd:"" help:"Run an instance with stand-in backend servers, to try briaryard out."`
 	Load  loadCommand  `cmd:"" help:"Load a fleet on loopback and judge its answers."`
+	Bench benchCommand `cmd:"" help:"Measure what an instance adds to a call, in one process."`
 
 	Standin standinCommand `cmd:"" hidden:"" help:"Run a stand-in backend server."`
 }
