Shrink the ring between a transfer and its caller to 16 events

Cause: each open request allocated a ring of 256 events (20 KB) although the transfer duty joins data that finds the ring full. Change: 16 events.

--- a/internal/service/frontcaller/header.go
+++ b/internal/service/frontcaller/header.go
@@ -27,8 +27,9 @@
 	maxKeyLength  = 255
 	maxNameLength = 128
 	maxDeadlineMS = 24 * 60 * 60 * 1000
-	// eventCapacity is the ring between the transfer duty and one caller's connection.
-	eventCapacity = 256
+	// eventCapacity is the ring between the transfer duty and one caller's connection. Data
+	// that finds it full is joined with the next, so a small ring only bounds the number of writes.
+	eventCapacity = 16
 )
 
 // submission reads what the headers say of a request.
