Check the key before every refusal of a keyed request

Cause: a keyed request that the configuration no longer allows was answered not_run without asking the control group, although an earlier attempt may have run; a full entry ring did the same. A late attempt could join one whose barrier was already set and share its not_run although the key had run since. A superseded claim was answered not_run without a barrier of its own. Change: every refusal of a keyed request passes the barrier, or says may_have_run when the control group cannot be asked. A request that is being refused is not joined.

--- a/internal/decide/entry/arrival.go
+++ b/internal/decide/entry/arrival.go
@@ -12,28 +12,55 @@
 // Arrive takes a submission.
 func (m *Machine) Arrive(now time.Time, a Arrival) []Effect {
 	r, f := m.admit(now, a)
+	if a.Key == "" {
+		m.arriveUnkeyed(now, r, f)
+	} else {
+		m.arriveKeyed(now, r, f)
+	}
+	return m.take()
+}
+
+func (m *Machine) arriveUnkeyed(now time.Time, r *request, f fault.Fault) {
 	if f != nil {
-		m.emit(Refuse{Caller: a.ID, Fault: f, Tier: r.desc.Tier})
-		return m.take()
+		m.emit(Refuse{Caller: r.desc.ID, Fault: f, Tier: r.desc.Tier})
+		return
 	}
-	if first := m.byKey[r.desc.Key]; r.keyed() && first != nil {
+	m.add(r)
+	m.admitWaiting(now, r)
+}
+
+// arriveKeyed joins the submission to an earlier attempt at this instance, or asks the
+// control group about the key. A refusal goes the same way: the earlier attempt may have
+// run under another configuration, so not_run must be checked first.
+func (m *Machine) arriveKeyed(now time.Time, r *request, f fault.Fault) {
+	// A request that is being refused is not joined: another attempt may have run since its
+	// barrier was set.
+	if first := m.byKey[r.desc.Key]; first != nil && first.phase != refusing {
 		m.join(first, r)
-		return m.take()
+		return
 	}
-	m.requests[a.ID] = r
-	m.attached[a.ID] = a.ID
-	m.limits.begin(r.desc.Team, r.caller)
-	m.count(r)
-	if !r.keyed() {
-		m.admitWaiting(now, r)
-		return m.take()
+	if _, unchecked := f.(*fault.KeyUnchecked); unchecked {
+		m.emit(Refuse{Caller: r.desc.ID, Fault: f, Tier: r.desc.Tier})
+		return
 	}
+	m.add(r)
 	m.byKey[r.desc.Key] = r
 	m.enter(r, looking, now)
-	if !m.command(r, state.Lookup{Key: r.desc.Key, Fingerprint: a.Fingerprint}) {
+	if f != nil {
+		m.refuse(now, r, f)
+		return
+	}
+	if !m.command(r, state.Lookup{Key: r.desc.Key, Fingerprint: r.fingerprint}) {
 		m.finishRefused(r, &fault.ControlUnavailable{Operation: "lookup"})
 	}
-	return m.take()
+}
+
+// add takes a request over.
+func (m *Machine) add(r *request) {
+	m.requests[r.desc.ID] = r
+	m.attached[r.desc.ID] = r.desc.ID
+	m.limits.begin(r.desc.Team, r.caller)
+	m.count(r)
 }
 
 // admit checks a submission against the configuration. It returns the request even if it
@@ -41,8 +68,9 @@
 func (m *Machine) admit(now time.Time, a Arrival) (*request, fault.Fault) {
 	r := &request{caller: a.Caller, call: a.Call, fingerprint: a.Fingerprint, callers: []model.RequestID{a.ID}}
 	r.desc = model.Descriptor{ID: a.ID, Pool: a.Pool, Team: a.Team, Arrived: now}
+	r.setKey(a.Key)
 	if m.config == nil {
-		return r, m.unlessClaimed(a, &fault.Withdrawn{Instance: m.self})
+		return r, unchecked(a, &fault.Withdrawn{Instance: m.self})
 	}
 	pool, ok := m.config.Pools[a.Pool]
 	if !ok || pool.Kind != a.Kind {
@@ -55,10 +83,8 @@
 	}
 	r.team = &team
 	r.desc.Team = team.ID
-	if a.Key != "" {
-		// The key belongs to the declared team and not to the name in the request.
-		r.desc.Key = model.HashKey(team.ID, a.Key)
-	}
+	// The key belongs to the declared team and not to the name in the request.
+	r.setKey(a.Key)
 	if f := applyTier(r, &team, a.Tier); f != nil {
 		return r, f
 	}
@@ -69,24 +95,31 @@
 		return r, &fault.KeyRequired{Method: a.Call.Method, Path: a.Call.Path}
 	}
 	if m.stopping {
-		return r, m.unlessClaimed(a, &fault.Stopping{Instance: m.self})
+		return r, &fault.Stopping{Instance: m.self}
 	}
 	if m.withdrawn {
-		return r, m.unlessClaimed(a, &fault.Withdrawn{Instance: m.self})
+		return r, unchecked(a, &fault.Withdrawn{Instance: m.self})
 	}
 	applyLengths(now, r, &pool, &a)
 	return r, nil
 }
 
-// unlessClaimed returns f, or for a keyed request a refusal that does not claim not_run:
-// a stopping or withdrawn instance does not ask the control group about the key.
-func (m *Machine) unlessClaimed(a Arrival, f fault.Fault) fault.Fault {
+// unchecked returns f, or for a keyed request a refusal that does not claim not_run: an
+// instance that cannot reach the control group cannot ask about the key.
+func unchecked(a Arrival, f fault.Fault) fault.Fault {
 	if a.Key == "" {
 		return f
 	}
 	return &fault.KeyUnchecked{Cause: f}
 }
 
+// setKey sets the key's hash in the scope of the request's team.
+func (r *request) setKey(key string) {
+	if key != "" {
+		r.desc.Key = model.HashKey(r.desc.Team, key)
+	}
+}
+
 func (m *Machine) team(id model.TeamID) (model.Team, bool) {
 	if t, ok := m.config.Teams[id]; ok {
 		return t, true
--- a/internal/decide/entry/course.go
+++ b/internal/decide/entry/course.go
@@ -162,7 +162,7 @@
 	case state.ClaimMismatch:
 		m.finishRefused(r, &fault.KeyMismatch{})
 	case state.ClaimSuperseded:
-		m.finishRefused(r, &fault.Superseded{})
+		m.refuse(now, r, &fault.Superseded{})
 	case state.ClaimFull:
 		m.refuse(now, r, &fault.ClaimsFull{})
 	case state.ClaimNone, state.ClaimWon:
--- a/internal/decide/entry/machine_test.go
+++ b/internal/decide/entry/machine_test.go
@@ -54,6 +54,10 @@
 	looked  map[model.RequestID]int
 	barrier map[model.RequestID]int
 	refused map[string]int
+	// joined maps a submission to the one whose fate it shares.
+	joined map[model.RequestID]model.RequestID
+	// arrived is the step at which a submission arrived.
+	arrived map[model.RequestID]int
 	running map[model.RequestID]Begin
 	// whole marks running requests whose answer has arrived and is not concluded.
 	whole    map[model.RequestID]bool
@@ -71,18 +75,27 @@
 	"p": {ID: "p", Kind: model.EngineServer, DefaultTier: model.Standard, DefaultDeadline: time.Minute, MaxBody: 1 << 20, MaxTokens: 10},
 }
 
+// configuration declares the team and, if asked, the pool.
+func configuration(poolDeclared bool) *model.Config {
+	c := &model.Config{Teams: map[model.TeamID]model.Team{
+		"t": {ID: "t", Weight: 1, HighestTier: model.Urgent, Concurrency: 4},
+	}}
+	if poolDeclared {
+		c.Pools = pools
+	}
+	return c
+}
+
 func newFleet(t *rapid.T, instances int) *fleet {
 	f := &fleet{
 		t: t, now: time.Unix(1000, 0), control: state.NewMachine(state.DefaultLimits()),
 		executed: make(map[string]int), ran: map[string]map[model.RequestID]bool{"k1": {}, "k2": {}}, keys: make(map[model.RequestID]string),
 		ended: make(map[model.RequestID]int), notRun: make(map[model.RequestID]bool), left: make(map[model.RequestID]bool),
-		running: make(map[model.RequestID]Begin), whole: make(map[model.RequestID]bool), looked: make(map[model.RequestID]int), barrier: make(map[model.RequestID]int), refused: make(map[string]int),
+		running: make(map[model.RequestID]Begin), whole: make(map[model.RequestID]bool), looked: make(map[model.RequestID]int), barrier: make(map[model.RequestID]int), joined: make(map[model.RequestID]model.RequestID), arrived: make(map[model.RequestID]int), refused: make(map[string]int),
 	}
 	for i := range instances {
 		m := New(instanceID(i))
-		m.SetConfig(&model.Config{Pools: pools, Teams: map[model.TeamID]model.Team{
-			"t": {ID: "t", Weight: 1, HighestTier: model.Urgent, Concurrency: 4},
-		}})
+		m.SetConfig(configuration(true))
 		m.SetView(&model.View{Servers: []model.BackendServer{{ID: "s", Incarnation: 1, Slots: 10, Pools: []model.PoolID{"p"}}}})
 		f.machines = append(f.machines, m)
 	}
@@ -111,6 +124,8 @@
 		a.Fingerprint = model.Fingerprint{content}
 	}
 	f.keys[id] = key
+	f.step++
+	f.arrived[id] = f.step
 	f.attempts = append(f.attempts, id)
 	f.take(i, f.machines[i].Arrive(f.now, a))
 }
@@ -143,6 +158,8 @@
 		f.waiting = append(f.waiting, e)
 	case Withdraw:
 		f.waiting = slices.DeleteFunc(f.waiting, func(r Register) bool { return r.Descriptor.ID == e.Request })
+	case answered:
+		f.take(i, m.Controlled(f.now, e.request, e.team, e.result))
 	case Control:
 		f.command(t, i, e)
 	case Begin:
@@ -157,6 +174,8 @@
 			f.ran[key][e.Request] = true
 		}
 		f.running[e.Request] = e
+	case Joined:
+		f.joined[e.Caller] = e.Request
 	case Join:
 		b, ok := f.running[e.Request]
 		if !ok {
@@ -198,13 +217,22 @@
 		r = f.apply(e.Command)
 		outcome = "answered"
 	}
+	a := answered{request: e.Request, team: e.Team}
 	if outcome == "answered" {
-		f.take(i, f.machines[i].Controlled(f.now, e.Request, e.Team, &r))
-		return
+		a.result = &r
 	}
-	f.take(i, f.machines[i].Controlled(f.now, e.Request, e.Team, nil))
+	f.pending = append(f.pending, delivery{i, a})
+}
+
+// answered is the answer to a command on its way back; a nil result is a time-out.
+type answered struct {
+	request model.RequestID
+	team    model.TeamID
+	result  *state.Result
 }
 
+func (answered) effect() {}
+
 func (f *fleet) apply(c state.Command) state.Result {
 	switch c := c.(type) {
 	case state.Lookup:
@@ -227,11 +255,19 @@
 	if f.executed[id.String()] > 0 {
 		t.Fatalf("%s ran and was answered not_run (%v)", id, cause)
 	}
+	if first, joined := f.joined[id]; joined {
+		f.barrier[id] = f.barrier[first]
+	}
+	if f.barrier[id] == 0 {
+		// Without a barrier the answer covers every attempt that has begun.
+		f.step++
+		f.barrier[id] = f.step
+	}
 	if f.keys[id] != "" {
 		f.refused[f.keys[id]] = max(f.refused[f.keys[id]], f.barrier[id])
 	}
 	for ran := range f.ran[f.keys[id]] {
-		if f.looked[ran] < f.barrier[id] {
+		if f.looked[ran] < max(f.barrier[id], f.arrived[id]) {
 			t.Fatalf("%s ran and %s with the same key was answered not_run (%v)", ran, id, cause)
 		}
 	}
@@ -345,6 +381,10 @@
 			"evict":   f.evict,
 			"finish":  f.finish,
 			"gone":    f.gone,
+			"configure": func(t *rapid.T) {
+				m := f.machines[rapid.IntRange(0, len(f.machines)-1).Draw(t, "machine")]
+				m.SetConfig(configuration(rapid.Bool().Draw(t, "pool declared")))
+			},
 			"time": func(t *rapid.T) {
 				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
 				for i, m := range f.machines {
--- a/internal/service/entry/service.go
+++ b/internal/service/entry/service.go
@@ -127,13 +127,14 @@
 
 // Submit implements port.Entry.
 func (s *Service) Submit(sub port.Submission) error {
-	if s.ring.Stats().Depth >= ringCapacity-reserved {
-		return &fault.Overloaded{Resource: "entry ring"}
+	if s.ring.Stats().Depth < ringCapacity-reserved && s.ring.Offer(submitted{sub}) == nil {
+		return nil
 	}
-	if err := s.ring.Offer(submitted{sub}); err != nil {
-		return &fault.Overloaded{Resource: "entry ring"}
+	overloaded := &fault.Overloaded{Resource: "entry ring"}
+	if sub.Key == "" {
+		return overloaded
 	}
-	return nil
+	return &fault.KeyUnchecked{Cause: overloaded}
 }
 
 // CallerGone implements port.Entry.
