--- a/internal/decide/state/claims.go
+++ b/internal/decide/state/claims.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"slices"
 	"time"
 
 	"briaryard/internal/fault"
@@ -17,6 +18,8 @@
 	// Answer is nil until the claim is finished, and when it is not kept.
 	Answer     *model.Answer
 	FinishedAt time.Time
+	// FinishedIndex is the log index of the Finish.
+	FinishedIndex uint64
 }
 
 // Barrier refuses claims by attempts that began before Index.
@@ -26,9 +29,10 @@
 	At    time.Time
 }
 
-type owner struct {
-	instance    model.InstanceID
-	incarnation model.Incarnation
+// Owner is a run of an instance that holds claims.
+type Owner struct {
+	Instance    model.InstanceID
+	Incarnation model.Incarnation
 }
 
 // claims holds the claims. Invariant: a key leaves the state held only for finished,
@@ -36,19 +40,23 @@
 type claims struct {
 	byKey map[model.KeyHash]*ClaimRecord
 	// held lists the held claims of each owner, so that a death touches only its own.
-	held map[owner]map[model.KeyHash]struct{}
+	held map[Owner]map[model.KeyHash]struct{}
 	// finished lists finished claims, oldest first; kept is the part that still has answers.
 	finished    []model.KeyHash
 	kept        []model.KeyHash
 	answerBytes int
 	barriers    map[model.KeyHash]Barrier
-	barrierAge  []Barrier
+	// barrierAge lists barriers, oldest first. It also holds replaced barriers until compact.
+	barrierAge []Barrier
+	// floor is the largest index of a forgotten barrier or finished claim. A claim by an
+	// attempt that began before it is refused, so that forgetting is always safe.
+	floor uint64
 }
 
 func newClaims() claims {
 	return claims{
 		byKey:    make(map[model.KeyHash]*ClaimRecord),
-		held:     make(map[owner]map[model.KeyHash]struct{}),
+		held:     make(map[Owner]map[model.KeyHash]struct{}),
 		barriers: make(map[model.KeyHash]Barrier),
 	}
 }
@@ -75,7 +83,7 @@
 		}
 		return r.result(cmd.Fingerprint)
 	}
-	if b, ok := c.barriers[cmd.Key]; ok && cmd.SeenIndex < b.Index {
+	if cmd.SeenIndex < max(c.floor, c.barriers[cmd.Key].Index) {
 		return Result{Claim: ClaimSuperseded}
 	}
 	if len(c.byKey) >= limits.Claims {
@@ -87,7 +95,7 @@
 
 func (c *claims) hold(r *ClaimRecord) {
 	c.byKey[r.Key] = r
-	o := owner{r.Request.Instance, r.Request.Incarnation}
+	o := Owner{r.Request.Instance, r.Request.Incarnation}
 	if c.held[o] == nil {
 		c.held[o] = make(map[model.KeyHash]struct{})
 	}
@@ -95,7 +103,7 @@
 }
 
 func (c *claims) unhold(r *ClaimRecord) {
-	o := owner{r.Request.Instance, r.Request.Incarnation}
+	o := Owner{r.Request.Instance, r.Request.Incarnation}
 	delete(c.held[o], r.Key)
 	if len(c.held[o]) == 0 {
 		delete(c.held, o)
@@ -104,7 +112,7 @@
 
 // finish records the outcome. An unknown claim may still become finished, because only
 // the attempt that ran can know its answer.
-func (c *claims) finish(cmd Finish, now time.Time, limits Limits) Result {
+func (c *claims) finish(cmd Finish, index uint64, now time.Time, limits Limits) Result {
 	r, ok := c.byKey[cmd.Key]
 	if !ok || r.Request != cmd.Request {
 		return Result{Claim: ClaimNone}
@@ -115,6 +123,7 @@
 	c.unhold(r)
 	r.Status = ClaimFinished
 	r.FinishedAt = now
+	r.FinishedIndex = index
 	c.finished = append(c.finished, r.Key)
 	if cmd.Answer != nil && len(cmd.Answer.Body) <= limits.AnswerBytes {
 		r.Answer = cmd.Answer
@@ -148,7 +157,7 @@
 	return Result{Claim: r.Status, Answer: r.Answer}
 }
 
-func (c *claims) release(cmd Release, index uint64, now time.Time) Result {
+func (c *claims) release(cmd Release, index uint64, now time.Time, limits Limits) Result {
 	r, ok := c.byKey[cmd.Key]
 	if ok && (r.Request != cmd.Request || r.Status != ClaimHeld) {
 		return Result{Claim: r.Status, Answer: r.Answer}
@@ -157,28 +166,51 @@
 		c.unhold(r)
 		delete(c.byKey, cmd.Key)
 	}
-	c.setBarrier(cmd.Key, index, now)
+	c.setBarrier(Barrier{Key: cmd.Key, Index: index, At: now}, limits)
 	return Result{Claim: ClaimNone}
 }
 
-func (c *claims) refuse(cmd Refuse, index uint64, now time.Time) Result {
+func (c *claims) refuse(cmd Refuse, index uint64, now time.Time, limits Limits) Result {
 	if r, ok := c.byKey[cmd.Key]; ok {
 		return Result{Claim: r.Status, Answer: r.Answer}
 	}
-	c.setBarrier(cmd.Key, index, now)
+	c.setBarrier(Barrier{Key: cmd.Key, Index: index, At: now}, limits)
 	return Result{Claim: ClaimNone}
 }
 
-func (c *claims) setBarrier(key model.KeyHash, index uint64, now time.Time) {
-	b := Barrier{Key: key, Index: index, At: now}
-	c.barriers[key] = b
+func (c *claims) setBarrier(b Barrier, limits Limits) {
+	c.barriers[b.Key] = b
 	c.barrierAge = append(c.barrierAge, b)
+	for len(c.barriers) > limits.Barriers {
+		c.dropBarrier()
+	}
+	c.compact()
+}
+
+// dropBarrier forgets the oldest barrier. The floor takes its place.
+func (c *claims) dropBarrier() {
+	b := c.barrierAge[0]
+	c.barrierAge = c.barrierAge[1:]
+	if c.barriers[b.Key] == b {
+		delete(c.barriers, b.Key)
+		c.floor = max(c.floor, b.Index)
+	}
+}
+
+// compact removes replaced barriers from the list once they outnumber the others, so that
+// a key refused again and again does not fill it.
+func (c *claims) compact() {
+	const slack = 1024
+	if len(c.barrierAge) <= 2*len(c.barriers)+slack {
+		return
+	}
+	c.barrierAge = slices.DeleteFunc(c.barrierAge, func(b Barrier) bool { return c.barriers[b.Key] != b })
 }
 
 // ownerDead makes the claims of dead incarnations unknown.
 func (c *claims) ownerDead(cmd OwnerDead) {
 	for o, keys := range c.held {
-		if o.instance != cmd.Instance || o.incarnation > cmd.Incarnation {
+		if o.Instance != cmd.Instance || o.Incarnation > cmd.Incarnation {
 			continue
 		}
 		for key := range keys {
@@ -199,15 +231,12 @@
 		c.dropAnswer(r.Key)
 		delete(c.byKey, r.Key)
 		c.finished = c.finished[1:]
+		c.floor = max(c.floor, r.FinishedIndex)
 	}
 	for len(c.kept) > 0 && c.byKey[c.kept[0]] == nil {
 		c.kept = c.kept[1:]
 	}
 	for len(c.barrierAge) > 0 && now.Sub(c.barrierAge[0].At) > limits.BarrierRetention {
-		b := c.barrierAge[0]
-		if c.barriers[b.Key] == b {
-			delete(c.barriers, b.Key)
-		}
-		c.barrierAge = c.barrierAge[1:]
+		c.dropBarrier()
 	}
 }
--- a/internal/decide/state/configs.go
+++ b/internal/decide/state/configs.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"time"
 
 	"briaryard/internal/fault"
@@ -13,33 +14,57 @@
 type configs struct {
 	current AcceptedConfig
 	// history lists accepted changes without content, oldest first.
-	history []AcceptedConfig
-	// digests holds the content digest of each change in history by change id.
-	digests map[string]changeDigest
+	history []Change
+	// accepted finds a change in history by its id, winners by its revision.
+	accepted map[string]Change
+	winners  map[model.Revision]Change
+	// refused lists the answers to changes that lost, oldest first, so that a resent one
+	// gets its first answer.
+	refused  []RefusedChange
+	refusals map[Digest]fault.ConfigConflict
 }
 
-type changeDigest struct {
-	content  [sha256.Size]byte
-	revision model.Revision
+// Digest is a SHA-256 digest.
+type Digest [sha256.Size]byte
+
+// Change is an accepted change without its content.
+type Change struct {
+	AcceptedConfig
+	// Digest is that of the content.
+	Digest Digest
+}
+
+// RefusedChange is the first answer to a change that lost.
+type RefusedChange struct {
+	// Digest covers the id, base, number and content of the change.
+	Digest   Digest
+	Conflict fault.ConfigConflict
 }
 
-func newConfigs() configs { return configs{digests: make(map[string]changeDigest)} }
+func newConfigs() configs {
+	return configs{
+		accepted: make(map[string]Change),
+		winners:  make(map[model.Revision]Change),
+		refusals: make(map[Digest]fault.ConfigConflict),
+	}
+}
 
 func (c *configs) apply(cmd ApplyConfig, now time.Time, limits Limits) Result {
-	digest := sha256.Sum256(cmd.Content)
-	if earlier, ok := c.digests[cmd.ChangeID]; ok {
-		if earlier.content != digest {
+	digest := Digest(sha256.Sum256(cmd.Content))
+	if earlier, ok := c.accepted[cmd.ChangeID]; ok {
+		if earlier.Digest != digest {
 			return Result{Err: &fault.ChangeReused{ChangeID: cmd.ChangeID}}
 		}
-		return Result{Revision: earlier.revision}
+		return Result{Revision: earlier.Revision}
+	}
+	attempt := attemptDigest(cmd, digest)
+	if first, ok := c.refusals[attempt]; ok {
+		return Result{Revision: first.Current, Err: &first}
 	}
 	if cmd.Base != c.current.Revision || cmd.Number <= c.current.Revision {
-		return Result{Revision: c.current.Revision, Err: &fault.ConfigConflict{
-			Number:         cmd.Number,
-			Current:        c.current.Revision,
-			WinnerChange:   c.current.ChangeID,
-			WinnerOperator: c.current.Operator,
-		}}
+		conflict := c.conflict(cmd.Number)
+		c.refuse(RefusedChange{Digest: attempt, Conflict: conflict}, limits)
+		return Result{Revision: conflict.Current, Err: &conflict}
 	}
 	c.current = AcceptedConfig{
 		Revision: cmd.Number,
@@ -48,17 +73,49 @@
 		At:       now,
 		Content:  cmd.Content,
 	}
-	c.remember(digest, limits)
+	c.accept(Change{AcceptedConfig: c.current, Digest: digest}, limits)
 	return Result{Revision: cmd.Number}
 }
 
-func (c *configs) remember(digest [sha256.Size]byte, limits Limits) {
-	entry := c.current
-	entry.Content = nil
-	c.history = append(c.history, entry)
-	c.digests[entry.ChangeID] = changeDigest{content: digest, revision: entry.Revision}
+// conflict names the change that won a number, or the one in force if no change that is
+// still remembered has that number.
+func (c *configs) conflict(number model.Revision) fault.ConfigConflict {
+	winner, ok := c.winners[number]
+	if !ok {
+		winner.AcceptedConfig = c.current
+	}
+	return fault.ConfigConflict{
+		Number: number, Current: c.current.Revision,
+		WinnerChange: winner.ChangeID, WinnerOperator: winner.Operator,
+	}
+}
+
+func (c *configs) accept(change Change, limits Limits) {
+	change.Content = nil
+	c.history = append(c.history, change)
+	c.accepted[change.ChangeID] = change
+	c.winners[change.Revision] = change
 	if len(c.history) > limits.Changes {
-		delete(c.digests, c.history[0].ChangeID)
+		delete(c.accepted, c.history[0].ChangeID)
+		delete(c.winners, c.history[0].Revision)
 		c.history = c.history[1:]
 	}
 }
+
+func (c *configs) refuse(r RefusedChange, limits Limits) {
+	c.refused = append(c.refused, r)
+	c.refusals[r.Digest] = r.Conflict
+	if len(c.refused) > limits.Changes {
+		delete(c.refusals, c.refused[0].Digest)
+		c.refused = c.refused[1:]
+	}
+}
+
+// attemptDigest identifies a proposal. A change that is proposed again on another base has
+// another digest, so it is judged anew.
+func attemptDigest(cmd ApplyConfig, content Digest) Digest {
+	b := binary.BigEndian.AppendUint64(nil, uint64(cmd.Base))
+	b = binary.BigEndian.AppendUint64(b, uint64(cmd.Number))
+	b = append(b, content[:]...)
+	return sha256.Sum256(append(b, cmd.ChangeID...))
+}
--- a/internal/decide/state/machine.go
+++ b/internal/decide/state/machine.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"briaryard/internal/model"
@@ -16,9 +19,11 @@
 	TotalAnswerBytes int
 	// Retention is how long a finished claim is kept.
 	Retention time.Duration
-	// BarrierRetention must exceed the longest time that an attempt can wait, so that no
-	// attempt outlives the barrier that stops it.
+	// BarrierRetention should exceed the longest time that an attempt can wait: an attempt
+	// that outlives a forgotten barrier is refused even if its own key was never refused.
 	BarrierRetention time.Duration
+	// Barriers is the number of barriers kept at once; the oldest are forgotten first.
+	Barriers int
 	// Changes is the number of past configuration changes whose ids are remembered.
 	Changes int
 }
@@ -31,6 +36,7 @@
 		TotalAnswerBytes: 256 << 20,
 		Retention:        24 * time.Hour,
 		BarrierRetention: time.Hour,
+		Barriers:         1_000_000,
 		Changes:          10_000,
 	}
 }
@@ -66,7 +72,8 @@
 		return Result{Index: m.applied}
 	}
 	m.applied = index
-	if at.After(m.now) {
+	// Without the monotonic reading, a replayed time stamp equals the original.
+	if at = at.UTC().Round(0); at.After(m.now) {
 		m.now = at
 	}
 	m.claims.expire(m.now, m.limits)
@@ -83,13 +90,13 @@
 	case Claim:
 		return m.claims.claim(c, m.limits)
 	case Finish:
-		return m.claims.finish(c, m.now, m.limits)
+		return m.claims.finish(c, m.applied, m.now, m.limits)
 	case Abandon:
 		return m.claims.abandon(c)
 	case Release:
-		return m.claims.release(c, m.applied, m.now)
+		return m.claims.release(c, m.applied, m.now, m.limits)
 	case Refuse:
-		return m.claims.refuse(c, m.applied, m.now)
+		return m.claims.refuse(c, m.applied, m.now, m.limits)
 	case OwnerDead:
 		m.claims.ownerDead(c)
 	case ApplyConfig:
@@ -117,7 +124,7 @@
 func (m *Machine) Config() AcceptedConfig { return m.configs.current }
 
 // History returns the accepted changes without their content, oldest first.
-func (m *Machine) History() []AcceptedConfig { return m.configs.history }
+func (m *Machine) History() []Change { return m.configs.history }
 
 // Leases returns all leases.
 func (m *Machine) Leases() map[string]Lease { return m.leases }
@@ -125,6 +132,13 @@
 // ClaimCount returns the number of claims.
 func (m *Machine) ClaimCount() int { return len(m.claims.byKey) }
 
+// Owners returns the owners of held claims by instance and incarnation.
+func (m *Machine) Owners() []Owner {
+	return slices.SortedFunc(maps.Keys(m.claims.held), func(a, b Owner) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+}
+
 // acquire gives the lease to the holder if its epoch is still c.After. The new epoch is
 // larger than every earlier one of the lease, so it can serve as a fencing number.
 func (m *Machine) acquire(c AcquireLease) Lease {
--- /dev/null
+++ b/internal/wire/controlwire/codec.go
@@ -0,0 +1,188 @@
+package controlwire
+
+import (
+	"briaryard/internal/decide/state"
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/wire/controlpb"
+)
+
+// MaxMessage bounds the encoded size of a message between an instance and a voter.
+const MaxMessage = MaxCommand + 1<<20
+
+// Codec is the port.Codec of the messages between instances and voters: CommandRequest,
+// Heartbeat, CommandReply and HeartbeatReply, each as a value.
+type Codec struct{}
+
+var _ port.Codec = Codec{}
+
+// Encode implements port.Codec.
+func (Codec) Encode(body any) ([]byte, error) {
+	m, err := messageToPB(body)
+	if err != nil {
+		return nil, err
+	}
+	check := checker{message: "control message"}
+	check.body(m)
+	if check.err != nil {
+		return nil, &EncodeError{Value: body, Reason: check.err.Reason}
+	}
+	return marshal(m, MaxMessage)
+}
+
+func messageToPB(body any) (*controlpb.Message, error) {
+	switch b := body.(type) {
+	case port.CommandRequest:
+		command, err := commandToPB(b.Command)
+		if err != nil {
+			return nil, err
+		}
+		return &controlpb.Message{Message: &controlpb.Message_CommandRequest{
+			CommandRequest: &controlpb.CommandRequest{Id: b.ID, Command: command}}}, nil
+	case port.Heartbeat:
+		return &controlpb.Message{Message: &controlpb.Message_Heartbeat{Heartbeat: &controlpb.Heartbeat{
+			Seq: b.Seq, Instance: string(b.Instance), Incarnation: uint64(b.Incarnation),
+			Revision: uint64(b.Revision), Holds: leasesToPB(b.Holds), Stopping: b.Stopping}}}, nil
+	case port.CommandReply:
+		result, err := resultToPB(b.Result)
+		if err != nil {
+			return nil, err
+		}
+		return &controlpb.Message{Message: &controlpb.Message_CommandReply{CommandReply: &controlpb.CommandReply{
+			Id: b.ID, Result: result, NotLeader: b.NotLeader, Leader: string(b.Leader)}}}, nil
+	case port.HeartbeatReply:
+		return &controlpb.Message{Message: &controlpb.Message_HeartbeatReply{HeartbeatReply: heartbeatReplyToPB(b)}}, nil
+	}
+	return nil, &EncodeError{Value: body, Reason: "unknown message"}
+}
+
+func heartbeatReplyToPB(b port.HeartbeatReply) *controlpb.HeartbeatReply {
+	m := &controlpb.HeartbeatReply{Seq: b.Seq, NotLeader: b.NotLeader, Leader: string(b.Leader),
+		Revision: uint64(b.Revision), Leases: leasesToPB(b.Leases)}
+	if b.Config != nil {
+		m.Config = configToPB(*b.Config)
+	}
+	for _, v := range b.Voters {
+		m.Voters = append(m.Voters, string(v))
+	}
+	for _, c := range b.Confirmed {
+		m.Confirmed = append(m.Confirmed, &controlpb.Confirmation{
+			Instance: string(c.Instance), Revision: uint64(c.Revision), Stopping: c.Stopping})
+	}
+	return m
+}
+
+// Decode implements port.Codec.
+func (Codec) Decode(data []byte) (any, error) {
+	m := new(controlpb.Message)
+	if err := unmarshal("control message", data, MaxMessage, m); err != nil {
+		return nil, err
+	}
+	c := checker{message: "control message"}
+	body := c.body(m)
+	if err := c.error(); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
+
+func (c *checker) body(m *controlpb.Message) any {
+	switch m := m.GetMessage().(type) {
+	case *controlpb.Message_CommandRequest:
+		v := m.CommandRequest
+		return port.CommandRequest{ID: v.GetId(), Command: c.command(v.GetCommand())}
+	case *controlpb.Message_Heartbeat:
+		v := m.Heartbeat
+		return port.Heartbeat{Seq: v.GetSeq(), Instance: c.instance(v.GetInstance()), Incarnation: model.Incarnation(v.GetIncarnation()),
+			Revision: model.Revision(v.GetRevision()), Holds: c.leases(v.GetHolds()), Stopping: v.GetStopping()}
+	case *controlpb.Message_CommandReply:
+		v := m.CommandReply
+		return port.CommandReply{ID: v.GetId(), Result: c.result(v.GetResult()), NotLeader: v.GetNotLeader(), Leader: c.instance(v.GetLeader())}
+	case *controlpb.Message_HeartbeatReply:
+		return c.heartbeatReply(m.HeartbeatReply)
+	}
+	c.fail("unknown message")
+	return nil
+}
+
+func (c *checker) heartbeatReply(v *controlpb.HeartbeatReply) port.HeartbeatReply {
+	r := port.HeartbeatReply{Seq: v.GetSeq(), NotLeader: v.GetNotLeader(), Leader: c.instance(v.GetLeader()),
+		Revision: model.Revision(v.GetRevision()), Leases: c.leases(v.GetLeases())}
+	if v.GetConfig() != nil {
+		config := c.config(v.GetConfig())
+		r.Config = &config
+	}
+	if len(v.GetVoters()) > maxInstances || len(v.GetConfirmed()) > maxInstances {
+		c.fail("too many instances")
+		return r
+	}
+	for _, id := range v.GetVoters() {
+		r.Voters = append(r.Voters, c.instance(id))
+	}
+	for _, f := range v.GetConfirmed() {
+		r.Confirmed = append(r.Confirmed, port.Confirmation{
+			Instance: c.instance(f.GetInstance()), Revision: model.Revision(f.GetRevision()), Stopping: f.GetStopping()})
+	}
+	return r
+}
+
+func resultToPB(r state.Result) (*controlpb.Result, error) {
+	m := &controlpb.Result{Index: r.Index, Claim: uint32(r.Claim), Answer: answerToPB(r.Answer), Revision: uint64(r.Revision)}
+	if r.Lease != (state.Lease{}) {
+		m.Lease = leaseToPB(r.Lease)
+	}
+	var err error
+	m.Fault, err = faultToPB(r.Err)
+	return m, err
+}
+
+func faultToPB(f fault.Fault) (*controlpb.Fault, error) {
+	switch f := f.(type) {
+	case nil:
+		return nil, nil
+	case *fault.ClaimsFull:
+		return &controlpb.Fault{Fault: &controlpb.Fault_ClaimsFull{ClaimsFull: &controlpb.ClaimsFull{Limit: int64(f.Limit)}}}, nil
+	case *fault.ConfigConflict:
+		return &controlpb.Fault{Fault: &controlpb.Fault_ConfigConflict{ConfigConflict: conflictToPB(f)}}, nil
+	case *fault.ChangeReused:
+		return &controlpb.Fault{Fault: &controlpb.Fault_ChangeReused{ChangeReused: &controlpb.ChangeReused{ChangeId: f.ChangeID}}}, nil
+	case *fault.ControlUnavailable:
+		return &controlpb.Fault{Fault: &controlpb.Fault_ControlUnavailable{ControlUnavailable: &controlpb.ControlUnavailable{Operation: f.Operation}}}, nil
+	}
+	return nil, &EncodeError{Value: f, Reason: "unknown fault"}
+}
+
+func (c *checker) result(m *controlpb.Result) state.Result {
+	return state.Result{Index: m.GetIndex(), Claim: c.claimStatus(m.GetClaim()), Answer: c.answer(m.GetAnswer()),
+		Lease: c.lease(m.GetLease()), Revision: model.Revision(m.GetRevision()), Err: c.fault(m.GetFault())}
+}
+
+func (c *checker) fault(m *controlpb.Fault) fault.Fault {
+	if m == nil {
+		return nil
+	}
+	switch f := m.GetFault().(type) {
+	case *controlpb.Fault_ClaimsFull:
+		return &fault.ClaimsFull{Limit: c.number(f.ClaimsFull.GetLimit())}
+	case *controlpb.Fault_ConfigConflict:
+		conflict := c.conflict(f.ConfigConflict)
+		return &conflict
+	case *controlpb.Fault_ChangeReused:
+		return &fault.ChangeReused{ChangeID: c.text(f.ChangeReused.GetChangeId())}
+	case *controlpb.Fault_ControlUnavailable:
+		return &fault.ControlUnavailable{Operation: c.text(f.ControlUnavailable.GetOperation())}
+	}
+	c.fail("unknown fault")
+	return nil
+}
+
+func (c *checker) conflict(m *controlpb.ConfigConflict) fault.ConfigConflict {
+	return fault.ConfigConflict{Number: model.Revision(m.GetNumber()), Current: model.Revision(m.GetCurrent()),
+		WinnerChange: c.text(m.GetWinnerChange()), WinnerOperator: c.text(m.GetWinnerOperator())}
+}
+
+func conflictToPB(f *fault.ConfigConflict) *controlpb.ConfigConflict {
+	return &controlpb.ConfigConflict{Number: uint64(f.Number), Current: uint64(f.Current),
+		WinnerChange: f.WinnerChange, WinnerOperator: f.WinnerOperator}
+}
