--- /dev/null
+++ b/internal/decide/controlcall/effect.go
@@ -0,0 +1,57 @@
+package controlcall
+
+import (
+	"briaryard/internal/decide/session"
+	"briaryard/internal/decide/state"
+	"briaryard/internal/model"
+)
+
+// Effect is something that the control-client service does for the machine.
+type Effect interface{ effect() }
+
+// SendCommand sends a command to a voter. A resent command has the same id.
+type SendCommand struct {
+	To      model.InstanceID
+	ID      uint64
+	Command state.Command
+}
+
+// SendHeartbeat sends a heartbeat to a voter.
+type SendHeartbeat struct {
+	To        model.InstanceID
+	Seq       uint64
+	Heartbeat session.Heartbeat
+}
+
+// Answer ends a command. Err is set if no answer came in time.
+type Answer struct {
+	ID     uint64
+	Result state.Result
+	Err    error
+}
+
+// PublishLeases publishes the lease table. A lease that this instance holds no longer, by
+// its own clock, has no holder.
+type PublishLeases struct{ Leases []state.Lease }
+
+// PublishConfig publishes an accepted configuration. Its revision is above every earlier one.
+type PublishConfig struct{ Config state.AcceptedConfig }
+
+// PublishConfirmed states whether the control group has confirmed this instance's
+// configuration recently enough.
+type PublishConfirmed struct{ OK bool }
+
+// LeasesReleased ends a Release. Err is set if leases could not be released in time.
+type LeasesReleased struct{ Err error }
+
+// LeaderChanged reports whom the instance takes for the leader; empty if unknown.
+type LeaderChanged struct{ Leader model.InstanceID }
+
+func (SendCommand) effect()      {}
+func (SendHeartbeat) effect()    {}
+func (Answer) effect()           {}
+func (PublishLeases) effect()    {}
+func (PublishConfig) effect()    {}
+func (PublishConfirmed) effect() {}
+func (LeasesReleased) effect()   {}
+func (LeaderChanged) effect()    {}
--- /dev/null
+++ b/internal/decide/controlcall/heartbeat.go
@@ -0,0 +1,228 @@
+package controlcall
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"briaryard/internal/decide/session"
+	"briaryard/internal/decide/state"
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+)
+
+// keptBeats is the number of sent heartbeats whose answers still count. At four a second it
+// covers more than the confirmation limit.
+const keptBeats = 32
+
+type sentBeat struct {
+	at       time.Time
+	revision model.Revision
+}
+
+// beats holds what the machine knows from heartbeats.
+type beats struct {
+	seq      uint64
+	sent     map[uint64]sentBeat
+	sentAt   time.Time
+	answered uint64
+	leases   map[string]state.Lease
+	// renewed is, for each lease held here, the send time of the last heartbeat whose answer
+	// listed it in its present epoch. The lease lasts from then.
+	renewed map[string]time.Time
+	// published is the table as subscribers know it.
+	published   []state.Lease
+	publishedAt time.Time
+	// revision is in force here, offered is the last published one.
+	revision model.Revision
+	offered  model.Revision
+	// confirmed is the send time of the last heartbeat that was answered with the revision
+	// in force here.
+	confirmed    time.Time
+	confirmedNow bool
+	stopping     bool
+	// releasing is set from Release until LeasesReleased, with the sequence number from
+	// which answers show the result.
+	releasing    bool
+	releaseSeq   uint64
+	releaseUntil time.Time
+}
+
+func newBeats(now time.Time) beats {
+	return beats{
+		sent: make(map[uint64]sentBeat), leases: make(map[string]state.Lease),
+		renewed: make(map[string]time.Time), publishedAt: now,
+	}
+}
+
+// Confirm sets the revision in force at this instance.
+func (m *Machine) Confirm(r model.Revision) { m.beats.revision = max(m.beats.revision, r) }
+
+// Release gives up all leases and takes no more. It ends with LeasesReleased.
+func (m *Machine) Release(now time.Time) []Effect {
+	b := &m.beats
+	if b.releasing {
+		return nil
+	}
+	b.stopping, b.releasing = true, true
+	b.releaseSeq, b.releaseUntil = b.seq+1, now.Add(commandTimeout)
+	// Subscribers stop acting on the leases before the control group can reassign them.
+	m.publishLeases(now)
+	m.releaseHeld(now)
+	m.beat(now)
+	return m.take()
+}
+
+// releaseHeld proposes the release of each lease held here, also of one that was granted
+// while the instance began to stop.
+func (m *Machine) releaseHeld(now time.Time) {
+	for _, l := range m.table() {
+		c := state.ReleaseLease{Name: l.Name, Epoch: l.Epoch}
+		if m.mine(l) && !m.waits(c) {
+			m.start(now, c, true)
+		}
+	}
+}
+
+func (m *Machine) waits(c state.Command) bool {
+	return slices.ContainsFunc(m.calls, func(p *call) bool { return !p.done && p.command == c })
+}
+
+func (m *Machine) released(err error) {
+	if m.beats.releasing {
+		m.beats.releasing = false
+		m.emit(LeasesReleased{Err: err})
+	}
+}
+
+func (m *Machine) mine(l state.Lease) bool {
+	return l.Holder == m.options.Self && l.Incarnation == m.options.Incarnation
+}
+
+// acting reports whether this instance may act on a lease at a time.
+func (m *Machine) acting(now time.Time, l state.Lease) bool {
+	o := m.options.Lease
+	own := o.LeaseDuration*time.Duration(100-o.DriftPercent)/100 - Tick
+	return m.mine(l) && !m.beats.stopping && now.Sub(m.beats.renewed[l.Name]) < own
+}
+
+func (m *Machine) beat(now time.Time) {
+	b := &m.beats
+	b.sentAt = now
+	if m.target == "" {
+		return
+	}
+	b.seq++
+	b.sent[b.seq] = sentBeat{at: now, revision: b.revision}
+	delete(b.sent, b.seq-keptBeats)
+	h := session.Heartbeat{
+		Instance: m.options.Self, Incarnation: m.options.Incarnation, Revision: b.revision, Stopping: b.stopping,
+		Holds: slices.DeleteFunc(m.table(), func(l state.Lease) bool { return !m.acting(now, l) }),
+	}
+	m.emit(SendHeartbeat{To: m.target, Seq: b.seq, Heartbeat: h})
+}
+
+func (m *Machine) tickBeats(now time.Time) {
+	b := &m.beats
+	if now.Sub(b.sentAt) >= m.options.HeartbeatInterval {
+		m.beat(now)
+	}
+	m.publishLeases(now)
+	if b.confirmedNow && now.Sub(b.confirmed) >= m.options.ConfirmWithin {
+		b.confirmedNow = false
+		m.emit(PublishConfirmed{OK: false})
+	}
+	if b.releasing && !now.Before(b.releaseUntil) {
+		m.released(&fault.ControlUnavailable{Operation: "ReleaseLease"})
+	}
+}
+
+// HeartbeatReply is a voter's answer to a heartbeat.
+type HeartbeatReply struct {
+	Seq       uint64
+	NotLeader bool
+	Leader    model.InstanceID
+	session.Answer
+}
+
+// Answered takes an answer to a heartbeat. An answer older than one already taken counts
+// for nothing.
+func (m *Machine) Answered(now time.Time, from model.InstanceID, r HeartbeatReply) []Effect {
+	if r.NotLeader {
+		m.redirect(now, from, r.Leader)
+		return m.take()
+	}
+	b := &m.beats
+	sent, known := b.sent[r.Seq]
+	if !known || r.Seq <= b.answered {
+		return m.take()
+	}
+	b.answered = r.Seq
+	m.obeyed(now, from)
+	if len(r.Voters) > 0 {
+		m.voters = slices.Clone(r.Voters)
+	}
+	m.learnLeases(r.Leases, sent.at)
+	m.learnConfig(r, sent)
+	if b.stopping {
+		m.releaseHeld(now)
+	}
+	m.publishLeases(now)
+	if r.Seq >= b.releaseSeq && !slices.ContainsFunc(m.table(), m.mine) {
+		m.released(nil)
+	}
+	return m.take()
+}
+
+// learnLeases takes a table. An older epoch never replaces a newer one, and a released lease
+// is not taken back at the same epoch, whatever a deposed leader answers.
+func (m *Machine) learnLeases(table []state.Lease, sent time.Time) {
+	for _, l := range table {
+		old, known := m.beats.leases[l.Name]
+		if !known || l.Epoch > old.Epoch || l.Epoch == old.Epoch && l.Holder == "" {
+			m.beats.leases[l.Name] = l
+		}
+		if m.mine(l) && m.beats.leases[l.Name] == l {
+			m.beats.renewed[l.Name] = sent
+		}
+	}
+}
+
+func (m *Machine) learnConfig(r HeartbeatReply, sent sentBeat) {
+	b := &m.beats
+	if r.Config != nil && r.Config.Revision > b.offered {
+		b.offered = r.Config.Revision
+		m.emit(PublishConfig{Config: *r.Config})
+	}
+	if sent.revision < r.Revision {
+		return
+	}
+	b.confirmed = sent.at
+	if !b.confirmedNow {
+		b.confirmedNow = true
+		m.emit(PublishConfirmed{OK: true})
+	}
+}
+
+// publishLeases publishes the table when it has changed, and once in each heartbeat interval
+// in case a subscriber's ring was full.
+func (m *Machine) publishLeases(now time.Time) {
+	b := &m.beats
+	table := m.table()
+	for i, l := range table {
+		if l.Holder == m.options.Self && !m.acting(now, l) {
+			table[i].Holder, table[i].Incarnation = "", 0
+		}
+	}
+	if slices.Equal(table, b.published) && now.Sub(b.publishedAt) < m.options.HeartbeatInterval {
+		return
+	}
+	b.published, b.publishedAt = table, now
+	m.emit(PublishLeases{Leases: slices.Clone(table)})
+}
+
+// table returns the known leases by name.
+func (m *Machine) table() []state.Lease {
+	return slices.SortedFunc(maps.Values(m.beats.leases), func(a, b state.Lease) int { return cmp.Compare(a.Name, b.Name) })
+}
--- a/internal/decide/state/command.go
+++ b/internal/decide/state/command.go
@@ -159,3 +159,32 @@
 	// Err is set when the command was refused.
 	Err fault.Fault
 }
+
+// Name returns the name of a command for messages to operators.
+func Name(c Command) string {
+	switch c.(type) {
+	case Claim:
+		return "Claim"
+	case Finish:
+		return "Finish"
+	case Abandon:
+		return "Abandon"
+	case Release:
+		return "Release"
+	case Refuse:
+		return "Refuse"
+	case Lookup:
+		return "Lookup"
+	case Await:
+		return "Await"
+	case OwnerDead:
+		return "OwnerDead"
+	case ApplyConfig:
+		return "ApplyConfig"
+	case AcquireLease:
+		return "AcquireLease"
+	case ReleaseLease:
+		return "ReleaseLease"
+	}
+	return "unknown command"
+}
--- a/internal/port/control.go
+++ b/internal/port/control.go
@@ -38,6 +38,11 @@
 	SubscribeLeases(sink func([]Lease))
 	// SubscribeConfig registers a receiver of accepted configurations. It is called during Provision.
 	SubscribeConfig(sink func(state.AcceptedConfig))
+	// SubscribeConfirmed registers a receiver of whether the control group has confirmed this
+	// instance's configuration recently; while it has not, the instance takes no new work.
+	// The first call says false unless there is no control group to ask. It is called during
+	// Provision.
+	SubscribeConfirmed(sink func(ok bool))
 	// ReleaseLeases gives up the leases that this instance holds. It calls done when the
 	// control group has confirmed or a time limit has passed.
 	ReleaseLeases(done func())
--- a/internal/port/controlmsg.go
+++ b/internal/port/controlmsg.go
@@ -74,6 +74,12 @@
 	LeaseDuration = 900 * time.Millisecond
 	// HeartbeatInterval lets two heartbeats be lost before a lease runs out.
 	HeartbeatInterval = 250 * time.Millisecond
+	// ConfirmWithin is the time without a confirmed configuration after which an instance
+	// withdraws. The promise allows 5 s from acceptance to everywhere.
+	ConfirmWithin = 5 * time.Second
+	// DeadAfter is the silence after which the leader counts an instance as dead. It exceeds
+	// ConfirmWithin, so that an instance takes no new work once it counts as dead.
+	DeadAfter = 10 * time.Second
 	// MaxClockDrift is the largest assumed difference between the rates of two monotonic
 	// clocks, in parts of a hundred.
 	MaxClockDrift = 1
--- a/internal/service/controlclient/local.go
+++ b/internal/service/controlclient/local.go
@@ -35,6 +35,7 @@
 	ring        *ring.Ring[message]
 	leases      []func([]port.Lease)
 	configs     []func(state.AcceptedConfig)
+	confirmed   []func(bool)
 
 	// The fields below belong to the control-client duty.
 	machine *state.Machine
@@ -64,6 +65,9 @@
 func (l *Local) Start(h *kernel.Host) error {
 	h.Go("control-client", func(ctx context.Context, d *kernel.Duty) {
 		l.apply(time.Now(), state.ApplyConfig{ChangeID: "initial", Number: 1, Operator: "dev", Content: l.initial})
+		for _, sink := range l.confirmed {
+			sink(true)
+		}
 		kernel.Loop[message]{Ring: l.ring, Tick: tick, Handle: l.handle, OnTick: l.onTick}.Run(ctx, d)
 	}, l.ring)
 	return nil
@@ -86,6 +90,9 @@
 // SubscribeConfig implements port.ControlClient.
 func (l *Local) SubscribeConfig(sink func(state.AcceptedConfig)) { l.configs = append(l.configs, sink) }
 
+// SubscribeConfirmed implements port.ControlClient.
+func (l *Local) SubscribeConfirmed(sink func(bool)) { l.confirmed = append(l.confirmed, sink) }
+
 // ReleaseLeases implements port.ControlClient.
 func (l *Local) ReleaseLeases(done func()) { done() }
 
