--- a/internal/decide/state/export.go
+++ b/internal/decide/state/export.go
@@ -101,6 +101,8 @@
 		return "too many barriers"
 	case len(e.Changes) > limits.Changes || len(e.Refused) > limits.Changes:
 		return "too many changes"
+	case len(e.Leases) > limits.Leases:
+		return "too many leases"
 	case e.Floor > e.Applied:
 		return "floor beyond the last applied entry"
 	}
--- a/internal/decide/state/machine.go
+++ b/internal/decide/state/machine.go
@@ -26,6 +26,9 @@
 	Barriers int
 	// Changes is the number of past configuration changes whose ids are remembered.
 	Changes int
+	// Leases is the number of lease names. Names are never forgotten, since a forgotten epoch
+	// could be given out again.
+	Leases int
 }
 
 // DefaultLimits are the limits of a control group.
@@ -38,6 +41,7 @@
 		BarrierRetention: time.Hour,
 		Barriers:         1_000_000,
 		Changes:          10_000,
+		Leases:           4096,
 	}
 }
 
@@ -142,8 +146,8 @@
 // acquire gives the lease to the holder if its epoch is still c.After. The new epoch is
 // larger than every earlier one of the lease, so it can serve as a fencing number.
 func (m *Machine) acquire(c AcquireLease) Lease {
-	l := m.leases[c.Name]
-	if l.Epoch != c.After {
+	l, known := m.leases[c.Name]
+	if l.Epoch != c.After || !known && len(m.leases) >= m.limits.Leases {
 		return l
 	}
 	l = Lease{Name: c.Name, Holder: c.Holder, Incarnation: c.Incarnation, Epoch: l.Epoch + 1}
@@ -153,8 +157,8 @@
 
 // release leaves the lease without a holder but keeps its epoch.
 func (m *Machine) release(c ReleaseLease) Lease {
-	l := m.leases[c.Name]
-	if l.Epoch == c.Epoch {
+	l, known := m.leases[c.Name]
+	if known && l.Epoch == c.Epoch {
 		l.Holder = ""
 		l.Incarnation = model.Incarnation(0)
 		m.leases[c.Name] = l
--- /dev/null
+++ b/internal/decide/state/model_test.go
@@ -0,0 +1,165 @@
+package state_test
+
+import (
+	"slices"
+	"time"
+
+	"briaryard/internal/decide/state"
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+)
+
+// naive computes the answers to commands about keys by scanning lists. It has none of the
+// indexes of the machine, so that a fault in keeping them shows up as a difference.
+type naive struct {
+	limits   state.Limits
+	now      time.Time
+	index    uint64
+	claims   []state.ClaimRecord
+	barriers []state.Barrier
+	floor    uint64
+}
+
+func (n *naive) find(key model.KeyHash) *state.ClaimRecord {
+	for i := range n.claims {
+		if n.claims[i].Key == key {
+			return &n.claims[i]
+		}
+	}
+	return nil
+}
+
+func (n *naive) expire() {
+	n.claims = slices.DeleteFunc(n.claims, func(r state.ClaimRecord) bool {
+		old := r.Status == state.ClaimFinished && n.now.Sub(r.FinishedAt) > n.limits.Retention
+		if old {
+			n.floor = max(n.floor, r.FinishedIndex)
+		}
+		return old
+	})
+	n.barriers = slices.DeleteFunc(n.barriers, func(b state.Barrier) bool {
+		old := n.now.Sub(b.At) > n.limits.BarrierRetention
+		if old {
+			n.floor = max(n.floor, b.Index)
+		}
+		return old
+	})
+}
+
+func (n *naive) apply(now time.Time, c state.Command) state.Result {
+	n.now = now
+	n.index++
+	n.expire()
+	r := n.answer(c)
+	r.Index = n.index
+	return r
+}
+
+func (n *naive) answer(c state.Command) state.Result {
+	switch c := c.(type) {
+	case state.Claim:
+		return n.claim(c)
+	case state.Finish:
+		return n.finish(c)
+	case state.Abandon:
+		r := n.find(c.Key)
+		if r == nil || r.Request != c.Request {
+			return state.Result{}
+		}
+		if r.Status == state.ClaimHeld {
+			r.Status = state.ClaimUnknown
+		}
+		return state.Result{Claim: r.Status, Answer: r.Answer}
+	case state.Release:
+		r := n.find(c.Key)
+		if r != nil && (r.Request != c.Request || r.Status != state.ClaimHeld) {
+			return state.Result{Claim: r.Status, Answer: r.Answer}
+		}
+		n.claims = slices.DeleteFunc(n.claims, func(r state.ClaimRecord) bool { return r.Key == c.Key })
+		n.barrier(c.Key)
+	case state.Refuse:
+		if r := n.find(c.Key); r != nil {
+			return state.Result{Claim: r.Status, Answer: r.Answer}
+		}
+		n.barrier(c.Key)
+	case state.OwnerDead:
+		for i := range n.claims {
+			r := &n.claims[i]
+			if r.Status == state.ClaimHeld && r.Request.Instance == c.Instance && r.Request.Incarnation <= c.Incarnation {
+				r.Status = state.ClaimUnknown
+			}
+		}
+	}
+	return state.Result{}
+}
+
+func (n *naive) claim(c state.Claim) state.Result {
+	if r := n.find(c.Key); r != nil {
+		switch {
+		case r.Request == c.Request && r.Status == state.ClaimHeld:
+			return state.Result{Claim: state.ClaimWon}
+		case r.Fingerprint != c.Fingerprint:
+			return state.Result{Claim: state.ClaimMismatch}
+		}
+		return state.Result{Claim: r.Status, Answer: r.Answer}
+	}
+	for _, b := range n.barriers {
+		if b.Key == c.Key && c.SeenIndex < b.Index {
+			return state.Result{Claim: state.ClaimSuperseded}
+		}
+	}
+	if c.SeenIndex < n.floor {
+		return state.Result{Claim: state.ClaimSuperseded}
+	}
+	if len(n.claims) >= n.limits.Claims {
+		return state.Result{Claim: state.ClaimFull, Err: &fault.ClaimsFull{Limit: n.limits.Claims}}
+	}
+	n.claims = append(n.claims, state.ClaimRecord{Key: c.Key, Fingerprint: c.Fingerprint, Request: c.Request, Status: state.ClaimHeld})
+	return state.Result{Claim: state.ClaimWon}
+}
+
+func (n *naive) finish(c state.Finish) state.Result {
+	r := n.find(c.Key)
+	if r == nil || r.Request != c.Request {
+		return state.Result{}
+	}
+	if r.Status != state.ClaimFinished {
+		r.Status, r.FinishedAt, r.FinishedIndex = state.ClaimFinished, n.now, n.index
+		if c.Answer != nil && len(c.Answer.Body) <= n.limits.AnswerBytes {
+			r.Answer = c.Answer
+		}
+		n.dropAnswers()
+	}
+	return state.Result{Claim: state.ClaimFinished, Answer: r.Answer}
+}
+
+// dropAnswers drops the oldest answers until the rest fit.
+func (n *naive) dropAnswers() {
+	for {
+		total := 0
+		var oldest *state.ClaimRecord
+		for i := range n.claims {
+			r := &n.claims[i]
+			if r.Answer == nil {
+				continue
+			}
+			total += len(r.Answer.Body)
+			if oldest == nil || r.FinishedIndex < oldest.FinishedIndex {
+				oldest = r
+			}
+		}
+		if total <= n.limits.TotalAnswerBytes {
+			return
+		}
+		oldest.Answer = nil
+	}
+}
+
+func (n *naive) barrier(key model.KeyHash) {
+	n.barriers = slices.DeleteFunc(n.barriers, func(b state.Barrier) bool { return b.Key == key })
+	n.barriers = append(n.barriers, state.Barrier{Key: key, Index: n.index, At: n.now})
+	if len(n.barriers) > n.limits.Barriers {
+		n.floor = max(n.floor, n.barriers[0].Index)
+		n.barriers = n.barriers[1:]
+	}
+}
--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -238,7 +238,7 @@
 		f.Fatal(err)
 	}
 	f.Add(data)
-	limits := state.Limits{Claims: 100, AnswerBytes: 1000, TotalAnswerBytes: 10000, Barriers: 100, Changes: 2,
+	limits := state.Limits{Claims: 100, AnswerBytes: 1000, TotalAnswerBytes: 10000, Barriers: 100, Changes: 2, Leases: 10,
 		Retention: time.Second, BarrierRetention: time.Second}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		m, err := controlwire.DecodeSnapshot(data, limits)
