--- /dev/null
+++ b/internal/decide/consensus/node_test.go
@@ -0,0 +1,203 @@
+package consensus
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards the safety properties against loss, duplication, reordering, crashes at any sync
+// point, wiped and restored folders, failed syncs and clock drift in any order.
+func TestGroupKeepsItsPromisesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), size)
+		s.settle()
+		any := func(t *rapid.T) *machine { return s.machines[rapid.IntRange(0, size-1).Draw(t, "machine")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(t *rapid.T) {
+				s.run(time.Duration(rapid.IntRange(1, 150).Draw(t, "x10ms")) * 10 * time.Millisecond)
+			},
+			"propose": func(t *rapid.T) { s.propose(any(t)) },
+			"read":    func(t *rapid.T) { s.read(any(t)) },
+			"burst": func(*rapid.T) {
+				for range 20 {
+					s.propose(s.leader())
+				}
+			},
+			"lossy":   func(t *rapid.T) { s.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss") },
+			"crash":   func(t *rapid.T) { s.crash(any(t)) },
+			"start":   func(t *rapid.T) { s.start(any(t)) },
+			"isolate": func(t *rapid.T) { s.cut[any(t).id] = true },
+			"heal":    func(*rapid.T) { clear(s.cut) },
+			"failsync": func(t *rapid.T) {
+				if m := any(t); m.node != nil {
+					m.failed = true
+					m.node.Fail()
+					s.pump(m)
+				}
+			},
+			"compact": func(t *rapid.T) {
+				if m := any(t); m.node != nil {
+					m.node.Compact(m.applied, []byte("state"))
+					s.pump(m)
+				}
+			},
+			"transfer": func(*rapid.T) {
+				if m := s.leader(); m != nil {
+					m.node.Transfer(s.clock(m))
+					s.pump(m)
+				}
+			},
+			"copy": func(t *rapid.T) {
+				m := any(t)
+				m.copies = append(m.copies, image{m.folder, m.boots, Stored{m.disk.Hard, m.disk.Snapshot, slices.Clone(m.disk.Entries)}})
+			},
+			// One folder is lost at a time: the group tolerates the next loss only after the
+			// first folder's replacement counts.
+			"wipe":    func(t *rapid.T) { s.wipe(any(t)) },
+			"restore": func(t *rapid.T) { s.restore(any(t)) },
+			"settle":  func(*rapid.T) { s.settle() },
+		})
+		s.settle()
+		if !s.accept() {
+			t.Fatalf("a whole group accepts nothing within 10 s")
+		}
+	})
+}
+
+// wipe replaces a machine's folder by an empty one once the group is whole.
+func (s *sim) wipe(m *machine) {
+	if s.whole() {
+		s.crash(m)
+		s.newFolder(m)
+		s.start(m)
+		s.untilWhole()
+	}
+}
+
+// restore puts back an older copy of the folder, taken in an earlier boot.
+func (s *sim) restore(m *machine) {
+	if !s.whole() || len(m.copies) == 0 || m.copies[0].boots >= m.boots || m.copies[0].folder != m.folder {
+		return
+	}
+	c := m.copies[0]
+	m.copies = nil
+	s.crash(m)
+	s.run(MaxElection)
+	m.disk, m.boots = c.disk, c.boots
+	s.start(m)
+	s.untilWhole()
+}
+
+// untilWhole waits for the replacement to count. No other fault happens meanwhile, because two
+// folders lost at once may lose entries in a group of three.
+func (s *sim) untilWhole() {
+	for range 600 {
+		s.run(100 * time.Millisecond)
+		if s.whole() {
+			return
+		}
+		clear(s.cut)
+		for _, m := range s.machines {
+			if m.failed {
+				s.crash(m)
+			}
+			s.start(m)
+		}
+	}
+	s.t.Fatalf("a replaced folder did not count again after 60 s")
+}
+
+// Guards against a leader that trusts its lease while it is cut off.
+func TestIsolatedLeaderStopsWithinItsLease(t *testing.T) {
+	s := newSim(t, 7, 3)
+	s.settle()
+	old := s.leader()
+	s.cut[old.id] = true
+	s.run(LeaseDuration + 10*time.Millisecond)
+	if old.node.Leads(s.clock(old)) {
+		t.Fatalf("the isolated leader believes that it leads after its lease")
+	}
+	for range 600 {
+		s.run(100 * time.Millisecond)
+		if old.node.Leads(s.clock(old)) {
+			t.Fatalf("the isolated leader leads again")
+		}
+	}
+	if l := s.leader(); l == nil || l == old {
+		t.Fatalf("the others elected no leader")
+	}
+	s.settle()
+}
+
+// Guards accepted entries against the loss of a second machine right after a first one was
+// repaired with an empty disk.
+func TestSecondLossAfterRepairLosesNothing(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, seed, 3)
+		s.settle()
+		for range 50 {
+			s.propose(s.leader())
+			s.run(20 * time.Millisecond)
+		}
+		s.wipe(s.machines[seed%3])
+		accepted := s.highest
+		lost := s.machines[(seed+1)%3]
+		s.crash(lost)
+		s.newFolder(lost)
+		for range 100 {
+			s.run(100 * time.Millisecond)
+			if s.leader() != nil {
+				break
+			}
+		}
+		l := s.leader()
+		if l == nil || l.node.Status().Last < accepted {
+			t.Fatalf("seed %d: entries up to %d are lost", seed, accepted)
+		}
+		s.settle()
+	}
+}
+
+// Guards against a folder that was restored from an older copy and votes for the former one.
+func TestRestoredFolderRejoinsAsAnother(t *testing.T) {
+	s := newSim(t, 3, 3)
+	s.settle()
+	m := s.machines[1]
+	was := m.folder
+	m.copies = append(m.copies, image{m.folder, m.boots, m.disk})
+	s.crash(m)
+	s.settle()
+	s.restore(m)
+	if m.folder == was {
+		t.Fatalf("the restored folder counts under its former identity")
+	}
+}
+
+// Guards progress and accepted entries against kills at every sync point of a minority.
+func TestMinorityKilledAtEverySyncPoint(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		s := newSim(t, uint64(size), size)
+		s.settle()
+		for round := range 60 {
+			for k := range size / 2 {
+				victim := s.machines[(round+k)%size]
+				for range 50 {
+					s.propose(s.leader())
+					s.run(10 * time.Millisecond)
+					if len(victim.inflight) > 0 {
+						break
+					}
+				}
+				s.crash(victim)
+			}
+			if !s.accept() {
+				t.Fatalf("round %d: the majority accepts nothing", round)
+			}
+			s.settle()
+		}
+	}
+}
