--- a/internal/decide/consensus/node.go
+++ b/internal/decide/consensus/node.go
@@ -87,6 +87,9 @@
 	Commit  uint64
 	Last    uint64
 	Members Membership
+	// Settled is set at a leader that has committed an entry of its term. Only then is all
+	// that earlier leaders committed known to it.
+	Settled bool
 	// Stale is set once the node was told that its folder was restored from an older copy.
 	Stale bool
 }
@@ -96,6 +99,7 @@
 	return Status{
 		Self: n.set.Self, Role: n.role, Term: n.hard.Term, Leader: n.leader, Commit: n.log.commit,
 		Last: n.log.last(), Members: n.log.members(), Stale: n.stale,
+		Settled: n.role == Leader && n.log.commit >= n.lead.first,
 	}
 }
 
--- a/internal/decide/consensus/node_test.go
+++ b/internal/decide/consensus/node_test.go
@@ -168,7 +168,7 @@
 	s.settle()
 	m := s.machines[1]
 	was := m.folder
-	m.copies = append(m.copies, image{m.folder, m.boots, m.disk})
+	m.copies = append(m.copies, image{m.folder, m.boots, Stored{m.disk.Hard, m.disk.Snapshot, slices.Clone(m.disk.Entries)}})
 	s.crash(m)
 	s.settle()
 	s.restore(m)
--- a/internal/decide/consensus/types.go
+++ b/internal/decide/consensus/types.go
@@ -233,7 +233,8 @@
 	}
 }
 
-// overwrite adds entries to a log; they replace those of the same and later indexes.
+// overwrite adds entries to a log that the caller alone holds; they replace those of the same
+// and later indexes.
 func overwrite(log, entries []Entry) []Entry {
 	if len(entries) == 0 {
 		return log
@@ -242,7 +243,7 @@
 	for keep > 0 && log[keep-1].Index >= entries[0].Index {
 		keep--
 	}
-	return append(log[:keep:keep], entries...)
+	return append(log[:keep], entries...)
 }
 
 func dropUpTo(log []Entry, index uint64) []Entry {
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -8,4 +8,20 @@
 		"A configuration came into force at this instance.", "revision", "change", "operator")
 	ConfigUnreadable = define(3002, slog.LevelError, "config.unreadable",
 		"An accepted configuration cannot be read by this version of the program.", "revision", "error")
+	ControlOpened = define(3010, slog.LevelInfo, "control.opened",
+		"The voter opened its data folder.", "folder", "incarnation", "boot", "term", "last_index", "snapshot_index", "took")
+	ControlLeads = define(3011, slog.LevelInfo, "control.leads",
+		"This voter became the leader of the control group.", "term", "last_index")
+	ControlFollows = define(3012, slog.LevelInfo, "control.follows",
+		"This voter follows another leader, or knows none.", "term", "leader")
+	ControlMembers = define(3013, slog.LevelInfo, "control.members",
+		"The members of the control group changed.", "index", "voters", "learners")
+	ControlFailed = define(3014, slog.LevelError, "control.failed",
+		"The voter cannot make its log durable and takes no further part in the control group.", "error")
+	ControlStale = define(3015, slog.LevelError, "control.stale",
+		"The data folder was restored from an older copy; the voter empties it and rejoins as a learner.", "incarnation")
+	ControlSnapshot = define(3016, slog.LevelInfo, "control.snapshot",
+		"The voter replaced its log by a snapshot.", "index", "bytes", "took")
+	ControlEntryUnreadable = define(3017, slog.LevelError, "control.entry_unreadable",
+		"A committed entry or snapshot cannot be read by this version of the program.", "index", "error")
 )
--- a/internal/fault/control.go
+++ b/internal/fault/control.go
@@ -13,6 +13,8 @@
 	CodeControlUnavailable = register("control-unavailable", "Control group cannot be reached", http.StatusServiceUnavailable, model.MayHaveRun, ExitUnavailable)
 	CodeClaimsFull         = register("claims-full", "No room for another idempotency key", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
 	CodeConfigConflict     = register("config-conflict", "Another change was accepted first", http.StatusConflict, model.NotRun, ExitConflict)
+	CodeDataFolder         = register("data-folder", "Data folder cannot be used", http.StatusInternalServerError, model.NotRun, ExitUsage)
+	CodeVoterFailed        = register("voter-failed", "Voter cannot make its log durable", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
 	CodeChangeReused       = register("change-id-reused", "Change id was used for another content", http.StatusConflict, model.NotRun, ExitConflict)
 )
 
@@ -61,3 +63,41 @@
 func (e *ChangeReused) Error() string {
 	return fmt.Sprintf("change id %q was used for another content", e.ChangeID)
 }
+
+// ForeignFolder reports a data folder that belongs to another instance.
+type ForeignFolder struct {
+	Folder string
+	Owner  model.InstanceID
+	Self   model.InstanceID
+}
+
+// Code implements Fault.
+func (e *ForeignFolder) Code() Code { return CodeDataFolder }
+func (e *ForeignFolder) Error() string {
+	return fmt.Sprintf("data folder %s belongs to instance %q, not to %q", e.Folder, e.Owner, e.Self)
+}
+
+// UnusableFolder reports a data folder that is damaged or cannot be read or written.
+type UnusableFolder struct {
+	Folder string
+	Err    error
+}
+
+// Code implements Fault.
+func (e *UnusableFolder) Code() Code { return CodeDataFolder }
+func (e *UnusableFolder) Error() string {
+	return fmt.Sprintf("data folder %s cannot be used: %v", e.Folder, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnusableFolder) Unwrap() error { return e.Err }
+
+// VoterFailed reports a voter that stopped voting because its log could not be synced.
+type VoterFailed struct{ Err error }
+
+// Code implements Fault.
+func (e *VoterFailed) Code() Code    { return CodeVoterFailed }
+func (e *VoterFailed) Error() string { return "the voter has stopped voting: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *VoterFailed) Unwrap() error { return e.Err }
