Read defaults and exceptions of the fleet configuration from several files

The parser knew neither defaults nor exceptions and reported one fault at a time without its line. It now walks the syntax tree, uses one table of fields for defaults, declarations and exceptions, and lists every fault with file, line and field. End dates are checked when a change is proposed, not when an accepted document is read, so that an instance that restarts can always take up the configuration in force.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -63,7 +63,7 @@
 			service(func(initial []byte) *controlclient.Local {
 				return controlclient.NewLocal(model.InstanceID(settings.ID), i.incarnation, initial)
 			}),
-			service(config.New), service(dispatch.New), service(dispatcher.New), service(entry.New),
+			service(func(l *event.Log) *config.Service { return config.New(l, settings.place()) }), service(dispatch.New), service(dispatcher.New), service(entry.New),
 			service(transfer.New), service(func(l *event.Log) kernel.Service { return engineclient.New(l) }),
 			service(func() kernel.Service { return plainclient.New() }),
 			service(func(s *frontcaller.Service) kernel.Service { return s }),
--- a/internal/app/memory_test.go
+++ b/internal/app/memory_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"briaryard/internal/declare"
 	"briaryard/internal/event"
 	"briaryard/internal/kernel"
 	"briaryard/internal/metric"
@@ -78,7 +79,7 @@
 	front := &memoryFront{}
 	for _, s := range []kernel.Service{
 		peers.New("i1", 1), members.New(log, model.Instance{ID: "i1", Incarnation: 1}),
-		controlclient.NewLocal("i1", 1, []byte(testConfig)), config.New(log), dispatch.New(log), dispatcher.New(log),
+		controlclient.NewLocal("i1", 1, []byte(testConfig)), config.New(log, declare.Place{}), dispatch.New(log), dispatcher.New(log),
 		entry.New(log, metric.NewSet()), transfer.New(),
 		&memoryBackend{name: port.EngineClientName}, &memoryBackend{name: port.PlainClientName}, front,
 	} {
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"briaryard/internal/declare"
 	"briaryard/internal/fault"
 	"briaryard/internal/model"
 )
@@ -63,3 +64,8 @@
 		Domain: model.FailureDomain(s.FailureDomain), CallerAddress: s.CallerAddress,
 	}
 }
+
+// place selects the exceptions of the configuration that apply to this instance.
+func (s *Settings) place() declare.Place {
+	return declare.Place{Instance: model.InstanceID(s.ID), Domain: model.FailureDomain(s.FailureDomain)}
+}
--- a/internal/declare/parse.go
+++ b/internal/declare/parse.go
@@ -1,146 +1,275 @@
 package declare
 
 import (
+	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
-	"briaryard/internal/fault"
 	"briaryard/internal/model"
 )
 
-// file is the YAML form of the fleet configuration.
-type file struct {
-	DefaultTeam string              `yaml:"default_team"`
-	Teams       map[string]teamFile `yaml:"teams"`
-	Pools       map[string]poolFile `yaml:"pools"`
-}
-
-type teamFile struct {
-	Weight              float64 `yaml:"weight"`
-	HighestTier         string  `yaml:"highest_tier"`
-	LowerTier           bool    `yaml:"lower_tier"`
-	RatePerSecond       float64 `yaml:"rate_per_second"`
-	Burst               int     `yaml:"burst"`
-	Concurrency         int     `yaml:"concurrency"`
-	CallerRatePerSecond float64 `yaml:"caller_rate_per_second"`
-	CallerConcurrency   int     `yaml:"caller_concurrency"`
-}
-
-type poolFile struct {
-	Kind            string      `yaml:"kind"`
-	DefaultTier     string      `yaml:"default_tier"`
-	DefaultDeadline string      `yaml:"default_deadline"`
-	MaxDeadline     string      `yaml:"max_deadline"`
-	MaxBodyBytes    int         `yaml:"max_body_bytes"`
-	MaxWaiting      int         `yaml:"max_waiting"`
-	MaxTokens       int         `yaml:"max_tokens"`
-	Routes          []routeFile `yaml:"routes"`
-}
-
-type routeFile struct {
-	Method     string `yaml:"method"`
-	Path       string `yaml:"path"`
-	Idempotent bool   `yaml:"idempotent"`
-}
-
-// Defaults of pools that declare nothing else.
-const (
-	defaultDeadline  = 30 * time.Second
-	defaultMaxWait   = 10 * time.Minute
-	defaultMaxBody   = 1 << 20
-	defaultMaxTokens = 1024
-)
+// Place is where a configuration is applied. The zero Place gets the values of the fleet,
+// without the exceptions for single instances and failure domains.
+type Place struct {
+	Instance model.InstanceID
+	Domain   model.FailureDomain
+}
+
+// Parse reads and checks a canonical document. It does not check end dates: an accepted
+// configuration stays readable after an exception in it has ended, or an instance that
+// restarts then could not take up the configuration in force.
+func Parse(content []byte) (*model.Config, error) { return ParseAt(content, Place{}) }
 
-// Parse reads and checks a configuration.
-func Parse(content []byte) (*model.Config, error) {
-	var f file
-	if err := yaml.UnmarshalWithOptions(content, &f, yaml.Strict()); err != nil {
-		return nil, &fault.InvalidConfig{Field: "document", Reason: err.Error()}
+// ParseAt reads a document and applies the exceptions for the place as well.
+func ParseAt(content []byte, place Place) (*model.Config, error) {
+	f := &faults{}
+	root := read("", content, f)
+	if root == nil {
+		return nil, f.err()
 	}
-	c := &model.Config{
-		DefaultTeam: model.TeamID(f.DefaultTeam),
-		Teams:       make(map[model.TeamID]model.Team),
-		Pools:       make(map[model.PoolID]model.Pool),
+	return build(root, place, f)
+}
+
+// Values in force where neither the defaults nor the declaration say otherwise.
+func baseTeam() model.Team { return model.Team{Weight: 1, HighestTier: model.Standard} }
+
+func basePool() model.Pool {
+	return model.Pool{
+		DefaultTier: model.Standard, DefaultDeadline: 30 * time.Second, MaxDeadline: 10 * time.Minute,
+		MaxBody: 1 << 20, MaxTokens: 1024,
 	}
-	for id, t := range f.Teams {
-		team, err := t.team(id)
-		if err != nil {
-			return nil, err
+}
+
+// The names of the sections, in the order of the canonical document.
+var sections = []string{"default_team", "tiers", "defaults", "teams", "pools", "exceptions"}
+
+type builder struct {
+	faults *faults
+	config *model.Config
+	team   model.Team
+	pool   model.Pool
+}
+
+func build(root *node, place Place, f *faults) (*model.Config, error) {
+	b := &builder{
+		faults: f, team: baseTeam(), pool: basePool(),
+		config: &model.Config{Teams: make(map[model.TeamID]model.Team), Pools: make(map[model.PoolID]model.Pool)},
+	}
+	if b.known(root, "document", sections...) {
+		b.tiers(root.get("tiers"))
+		b.defaults(root.get("defaults"))
+		b.teams(root.get("teams"))
+		b.pools(root.get("pools"))
+		b.exceptions(root.get("exceptions"), place)
+		b.defaultTeam(root.get("default_team"))
+	}
+	if err := f.err(); err != nil {
+		return nil, err
+	}
+	return b.config, nil
+}
+
+// known checks that a node is a map and holds only the named fields.
+func (b *builder) known(n *node, path string, names ...string) bool {
+	if n.kind != mapNode {
+		b.faults.at(n, path, "want fields")
+		return false
+	}
+	for _, e := range n.fields {
+		if !contains(names, e.name) {
+			b.faults.add(e.file, e.line, join(path, e.name), "unknown field; known here: %s", strings.Join(names, ", "))
 		}
-		c.Teams[team.ID] = team
 	}
-	for id, p := range f.Pools {
-		pool, err := p.pool(id)
+	return true
+}
+
+func (b *builder) tiers(n *node) {
+	if n == nil || !b.known(n, "tiers", "urgent", "interactive", "standard", "batch") {
+		return
+	}
+	sum := 0.0
+	for _, e := range n.fields {
+		t, err := model.ParseTier(e.name)
 		if err != nil {
-			return nil, err
+			continue
+		}
+		path := "tiers." + e.name
+		if !b.known(e.value, path, "minimum_share") {
+			continue
 		}
-		c.Pools[pool.ID] = pool
+		share := e.value.get("minimum_share")
+		if share == nil {
+			b.faults.at(e.value, path+".minimum_share", "is missing")
+			continue
+		}
+		v, reason := decimal(0, 1)(share)
+		if reason != "" {
+			b.faults.at(share, path+".minimum_share", "%s", reason)
+			continue
+		}
+		b.config.MinimumShare[t] = v.(float64)
+		sum += v.(float64)
+	}
+	if sum > 1 {
+		b.faults.at(n, "tiers", "the minimum shares add up to %g, more than 1", sum)
 	}
-	return c, nil
 }
 
-func (t teamFile) team(id string) (model.Team, error) {
-	highest, err := tier("teams."+id+".highest_tier", t.HighestTier, model.Standard)
-	return model.Team{
-		ID: model.TeamID(id), Weight: max(t.Weight, 1), HighestTier: highest, LowerTier: t.LowerTier,
-		RatePerSecond: t.RatePerSecond, Burst: t.Burst, Concurrency: t.Concurrency,
-		CallerRatePerSecond: t.CallerRatePerSecond, CallerConcurrency: t.CallerConcurrency,
-	}, err
+func (b *builder) defaults(n *node) {
+	if n == nil || !b.known(n, "defaults", "team", "pool") {
+		return
+	}
+	if t := n.get("team"); t != nil {
+		fill(b, t, "defaults.team", teamFields, &b.team)
+	}
+	if p := n.get("pool"); p != nil {
+		fill(b, p, "defaults.pool", poolFields, &b.pool)
+	}
 }
 
-func (p poolFile) pool(id string) (model.Pool, error) {
-	out := model.Pool{
-		ID: model.PoolID(id), Kind: model.EngineServer, MaxBody: p.MaxBodyBytes,
-		MaxWaiting: p.MaxWaiting, MaxTokens: p.MaxTokens,
+// fill reads the fields of a team or a pool; extra names fields that the caller reads.
+func fill[T any](b *builder, n *node, path string, table []field[T], into *T, extra ...string) {
+	names := extra
+	for _, f := range table {
+		names = append(names, f.name)
 	}
-	switch p.Kind {
-	case "engine", "":
-	case "plain":
-		out.Kind = model.PlainServer
-	default:
-		return out, &fault.InvalidConfig{Field: "pools." + id + ".kind", Reason: "want engine or plain"}
+	if !b.known(n, path, names...) {
+		return
 	}
-	var err error
-	if out.DefaultTier, err = tier("pools."+id+".default_tier", p.DefaultTier, model.Standard); err != nil {
-		return out, err
+	for _, e := range n.fields {
+		f, ok := findField(table, e.name)
+		if !ok {
+			continue
+		}
+		v, reason := f.read(e.value)
+		if reason != "" {
+			b.faults.at(e.value, join(path, e.name), "%s", reason)
+			continue
+		}
+		f.set(into, v)
 	}
-	if out.DefaultDeadline, err = duration("pools."+id+".default_deadline", p.DefaultDeadline, defaultDeadline); err != nil {
-		return out, err
+}
+
+func (b *builder) teams(n *node) {
+	if n == nil || !b.named(n, "teams") {
+		return
 	}
-	if out.MaxDeadline, err = duration("pools."+id+".max_deadline", p.MaxDeadline, defaultMaxWait); err != nil {
-		return out, err
+	for _, e := range n.fields {
+		team := b.team
+		team.ID = model.TeamID(e.name)
+		if !empty(e.value) {
+			fill(b, e.value, "teams."+e.name, teamFields, &team)
+		}
+		b.config.Teams[team.ID] = team
 	}
-	if out.MaxBody <= 0 {
-		out.MaxBody = defaultMaxBody
+}
+
+func (b *builder) pools(n *node) {
+	if n == nil || !b.named(n, "pools") {
+		return
 	}
-	if out.MaxTokens <= 0 {
-		out.MaxTokens = defaultMaxTokens
+	for _, e := range n.fields {
+		pool := b.pool
+		pool.ID = model.PoolID(e.name)
+		path := "pools." + e.name
+		if !empty(e.value) {
+			fill(b, e.value, path, poolFields, &pool, "routes")
+			if e.value.kind == mapNode {
+				b.routes(e.value.get("routes"), path+".routes", &pool)
+			}
+		}
+		if pool.DefaultDeadline > pool.MaxDeadline {
+			b.faults.add(e.file, e.line, path+".default_deadline", "%s exceeds max_deadline %s", pool.DefaultDeadline, pool.MaxDeadline)
+		}
+		b.config.Pools[pool.ID] = pool
 	}
-	for _, r := range p.Routes {
-		out.Routes = append(out.Routes, model.Route{Method: r.Method, PathPrefix: r.Path, Idempotent: r.Idempotent})
+}
+
+// named checks a map whose keys are names that the operator chooses.
+func (b *builder) named(n *node, path string) bool {
+	if n.kind != mapNode {
+		b.faults.at(n, path, "want names with their fields")
+		return false
+	}
+	for _, e := range n.fields {
+		if e.name == "" || len(e.name) > maxNameLength || strings.ContainsAny(e.name, " \t\n/\"'|") {
+			b.faults.add(e.file, e.line, join(path, e.name), "want a name of 1 to %d characters without spaces, quotes, / or |", maxNameLength)
+		}
 	}
-	return out, nil
+	return true
 }
 
-func tier(field, text string, unset model.Tier) (model.Tier, error) {
-	if text == "" {
-		return unset, nil
+func (b *builder) routes(n *node, path string, pool *model.Pool) {
+	if n == nil {
+		return
 	}
-	t, err := model.ParseTier(text)
-	if err != nil {
-		return 0, &fault.InvalidConfig{Field: field, Reason: err.Error()}
+	if n.kind != listNode {
+		b.faults.at(n, path, "want a list of routes")
+		return
 	}
-	return t, nil
+	if pool.Kind != model.PlainServer {
+		b.faults.at(n, path, "only a pool of kind plain has routes")
+	}
+	for _, item := range n.items {
+		if !b.known(item, path, "method", "path", "idempotent") {
+			continue
+		}
+		r := model.Route{Method: b.text(item, path, "method"), PathPrefix: b.text(item, path, "path")}
+		if r.Method != "" && !contains(methods, r.Method) {
+			b.faults.at(item, path+".method", "want one of %s", strings.Join(methods, ", "))
+		}
+		if r.PathPrefix != "" && !strings.HasPrefix(r.PathPrefix, "/") {
+			b.faults.at(item, path+".path", "want a path that begins with /")
+		}
+		if v := item.get("idempotent"); v == nil {
+			b.faults.at(item, path+".idempotent", "is missing: say whether a call may be repeated without harm")
+		} else if flag, reason := readBool(v); reason != "" {
+			b.faults.at(v, path+".idempotent", "%s", reason)
+		} else {
+			r.Idempotent = flag.(bool)
+		}
+		pool.Routes = append(pool.Routes, r)
+	}
+}
+
+var methods = []string{"*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}
+
+// text reads a required text field.
+func (b *builder) text(n *node, path, name string) string {
+	v := n.get(name)
+	if v == nil {
+		b.faults.at(n, join(path, name), "is missing")
+		return ""
+	}
+	text, ok := readText(v)
+	if !ok || strings.TrimSpace(text) == "" {
+		b.faults.at(v, join(path, name), "want a text that is not empty")
+		return ""
+	}
+	return text
 }
 
-func duration(field, text string, unset time.Duration) (time.Duration, error) {
-	if text == "" {
-		return unset, nil
+func (b *builder) defaultTeam(n *node) {
+	if n == nil {
+		return
+	}
+	text, ok := readText(n)
+	if !ok {
+		b.faults.at(n, "default_team", "want the name of a team")
+		return
 	}
-	d, err := time.ParseDuration(text)
-	if err != nil || d <= 0 {
-		return 0, &fault.InvalidConfig{Field: field, Reason: "want a positive duration such as 30s"}
+	b.config.DefaultTeam = model.TeamID(text)
+	if _, declared := b.config.Teams[b.config.DefaultTeam]; text != "" && !declared {
+		b.faults.at(n, "default_team", "team %q is not declared", text)
+	}
+}
+
+func empty(n *node) bool { return n.kind == scalarNode && n.scalar == nil }
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
 	}
-	return d, nil
+	return false
 }
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -12,6 +12,47 @@
 	// MinimumShare is the share of each tier's capacity that lower tiers cannot lose while
 	// no higher tier would miss a deadline, 0 to 1.
 	MinimumShare [TierCount]float64
+	// Exceptions are the declared deviations from the defaults. Their values are already
+	// part of Teams and Pools where they apply.
+	Exceptions []Exception
+}
+
+// Exception is a declared deviation of one field, with the person who answers for it.
+type Exception struct {
+	// Exactly one of Team and Pool is set. Instance or Domain narrows the exception.
+	Team     TeamID
+	Pool     PoolID
+	Instance InstanceID
+	Domain   FailureDomain
+	Field    string
+	Value    string
+	Owner    string
+	Reason   string
+	// Until is the last day, UTC; zero means no end.
+	Until time.Time
+	// File and Line say where the exception is declared.
+	File string
+	Line int
+}
+
+// Ended reports whether the last day of the exception has passed.
+func (x *Exception) Ended(now time.Time) bool {
+	return !x.Until.IsZero() && !now.Before(x.Until.AddDate(0, 0, 1))
+}
+
+// Target names what the exception applies to.
+func (x *Exception) Target() string {
+	target := "team " + string(x.Team)
+	if x.Team == "" {
+		target = "pool " + string(x.Pool)
+	}
+	if x.Instance != "" {
+		target += " at instance " + string(x.Instance)
+	}
+	if x.Domain != "" {
+		target += " in failure domain " + string(x.Domain)
+	}
+	return target
 }
 
 // Team declares the share and the limits of a team.
@@ -53,6 +94,16 @@
 	MaxTokens int
 	// ServersPerDomain is the number of engines placement keeps in each failure domain.
 	ServersPerDomain int
+	// DomainServers replaces ServersPerDomain in single failure domains.
+	DomainServers map[FailureDomain]int
+}
+
+// Servers returns the number of engines that placement keeps in a failure domain.
+func (p *Pool) Servers(d FailureDomain) int {
+	if n, ok := p.DomainServers[d]; ok {
+		return n
+	}
+	return p.ServersPerDomain
 }
 
 // Route declares one kind of call to a plain service.
--- a/internal/service/config/service.go
+++ b/internal/service/config/service.go
@@ -15,7 +15,9 @@
 
 // Service publishes the configuration in force.
 type Service struct {
-	log     *event.Log
+	log *event.Log
+	// place selects the exceptions that apply to this instance.
+	place   declare.Place
 	control port.ControlClient
 	// ring holds one item because only the newest configuration matters.
 	ring  *ring.Ring[state.AcceptedConfig]
@@ -24,9 +26,9 @@
 	revision model.Revision
 }
 
-// New returns the service.
-func New(log *event.Log) *Service {
-	return &Service{log: log, ring: ring.New[state.AcceptedConfig]("config", 1, ring.ReplaceOldest)}
+// New returns the service of an instance at a place.
+func New(log *event.Log, place declare.Place) *Service {
+	return &Service{log: log, place: place, ring: ring.New[state.AcceptedConfig]("config", 1, ring.ReplaceOldest)}
 }
 
 // Name implements kernel.Service.
@@ -64,7 +66,7 @@
 	if accepted.Revision <= s.revision {
 		return
 	}
-	c, err := declare.Parse(accepted.Content)
+	c, err := declare.ParseAt(accepted.Content, s.place)
 	if err != nil {
 		// The operator endpoint checks a change before it is proposed, so this happens
 		// only when instances run different versions of the program.
