Give the operator endpoint typed messages, changes and a status page

The endpoint answered from unnamed maps and could change nothing. One duty now owns the picture of the fleet; handlers ask it through a ring. New: status, leases, voters, configuration with history and apply, metrics as JSON and in the text exposition format, drain, and an HTML page. Control clients publish their status through the optional port.ControlObserver and change voters through the optional port.VoterChanger; without the latter the answer is the problem unsupported.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -43,13 +43,15 @@
 	operators   *frontoperator.Service
 	lifecycle   *lifecycle.Service
 	failed      chan error
+	// drains carries an operator's wish to stop; a repeated wish changes nothing.
+	drains chan struct{}
 }
 
 // New constructs an instance with an initial configuration for a fleet of one.
 func New(settings Settings, out *slog.Logger, initial []byte) *Instance {
 	i := &Instance{
 		settings: settings, log: event.New(out),
-		incarnation: model.Incarnation(time.Now().UnixNano()), failed: make(chan error, 1),
+		incarnation: model.Incarnation(time.Now().UnixNano()), failed: make(chan error, 1), drains: make(chan struct{}, 1),
 	}
 	i.kernel = kernel.New(i.onPanic)
 	i.fx = fx.New(
@@ -94,7 +96,10 @@
 }
 
 func (i *Instance) newOperators(l *event.Log, m *metric.Set) *frontoperator.Service {
-	return frontoperator.New(l, m, i.settings.OperAddress, i.kernel.Health)
+	return frontoperator.New(l, m, frontoperator.Options{
+		Address: i.settings.OperAddress, Instance: model.InstanceID(i.settings.ID), Incarnation: i.incarnation,
+		Domain: model.FailureDomain(i.settings.FailureDomain), Health: i.kernel.Health, Drain: i.drain,
+	})
 }
 
 func (i *Instance) newLifecycle(l *event.Log) *lifecycle.Service {
@@ -122,6 +127,13 @@
 	}
 }
 
+func (i *Instance) drain() {
+	select {
+	case i.drains <- struct{}{}:
+	default:
+	}
+}
+
 // Start starts all services.
 func (i *Instance) Start(ctx context.Context) error {
 	if err := i.fx.Start(ctx); err != nil {
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -15,7 +15,7 @@
 const stopTimeout = 10 * time.Second
 
 // Run starts an instance, waits for a signal and stops it. The first SIGTERM or SIGINT
-// stops gracefully, without a time limit; a second one cuts the stop short. The result is
+// stops gracefully, without a time limit, as does an operator's drain; a second one cuts the stop short. The result is
 // the exit code.
 func (i *Instance) Run(ctx context.Context, started func()) (int, error) {
 	signals := make(chan os.Signal, 2)
@@ -38,6 +38,7 @@
 func (i *Instance) wait(ctx context.Context, signals <-chan os.Signal) (int, error) {
 	select {
 	case <-signals:
+	case <-i.drains:
 	case <-ctx.Done():
 	case err := <-i.failed:
 		return fault.ExitInternal, err
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Def defines an event.
@@ -36,6 +37,7 @@
 
 // Record is an event that was logged, as kept for operators.
 type Record struct {
+	Time   time.Time      `json:"time"`
 	Event  string         `json:"event"`
 	Number int            `json:"number"`
 	Fields map[string]any `json:"fields"`
@@ -76,7 +78,7 @@
 			fields[d.Fields[i]] = v
 		}
 	}
-	r := Record{Event: d.Name, Number: d.Number, Fields: fields}
+	r := Record{Time: time.Now(), Event: d.Name, Number: d.Number, Fields: fields}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.recent) < recentRecords {
--- /dev/null
+++ b/internal/event/operator.go
@@ -0,0 +1,15 @@
+package event
+
+import "log/slog"
+
+// Events of operators (5000-5999).
+var (
+	OperatorApplied = define(5001, slog.LevelInfo, "operator.config_applied",
+		"A configuration change was accepted through this instance.", "change", "operator", "revision", "number")
+	OperatorRefused = define(5002, slog.LevelWarn, "operator.config_refused",
+		"A configuration change was refused at this instance; code says why.", "change", "operator", "number", "code", "detail")
+	OperatorDrain = define(5003, slog.LevelInfo, "operator.drain",
+		"An operator asked this instance to stop gracefully.", "instance", "from")
+	OperatorVoters = define(5004, slog.LevelInfo, "operator.voters_changed",
+		"An operator asked for a change of the voters; code is empty when it was accepted.", "voter", "remove", "code")
+)
--- /dev/null
+++ b/internal/metric/process.go
@@ -0,0 +1,14 @@
+package metric
+
+// Metrics of the process, of the configuration and of the control group.
+var (
+	RingDepth      = define(KindGauge, "ring_depth", "messages", "ring", "Messages that wait in a ring.")
+	RingHighWater  = define(KindGauge, "ring_high_water", "messages", "ring", "Most messages that waited in a ring at once.")
+	RingRefused    = define(KindCounter, "ring_refused", "messages", "ring", "Messages that a full ring refused.")
+	LeaseHeld      = define(KindGauge, "lease_held", "leases", "lease", "1 if this instance holds the lease, 0 if it does not.")
+	Revision       = define(KindGauge, "config_revision", "revisions", "", "Configuration revision in force at this instance.")
+	Accepted       = define(KindGauge, "config_accepted_revision", "revisions", "", "Newest accepted configuration revision that this instance knows.")
+	EndedException = define(KindGauge, "config_exceptions_ended", "exceptions", "", "Exceptions in force whose end date has passed.")
+	ClaimLatency   = define(KindHistogram, "claim_latency", "microseconds", "", "Time from the claim of an idempotency key to the control group's answer.")
+	Unhealthy      = define(KindGauge, "services_unhealthy", "services", "", "Services of this instance that report a failure.")
+)
--- /dev/null
+++ b/internal/port/controlstatus.go
@@ -0,0 +1,38 @@
+package port
+
+import (
+	"briaryard/internal/decide/state"
+	"briaryard/internal/model"
+)
+
+// ControlStatus is what an instance knows of the control group. It is immutable.
+type ControlStatus struct {
+	// Leader is empty while none is known.
+	Leader model.InstanceID
+	Leases []state.Lease
+	Voters []model.InstanceID
+	// Confirmed lists the revision that each live instance has in force.
+	Confirmed []Confirmation
+	// History lists accepted changes without their content, oldest first. It may be empty
+	// where the client only follows heartbeats.
+	History []state.AcceptedConfig
+}
+
+// ControlObserver is implemented by control clients that publish their status. It is apart
+// from ControlClient because only operators need it.
+type ControlObserver interface {
+	// SubscribeStatus registers a receiver of the status. It is called during Provision.
+	SubscribeStatus(sink func(ControlStatus))
+}
+
+// VoterChange adds an instance to the control group or removes it.
+type VoterChange struct {
+	Instance model.InstanceID
+	Remove   bool
+}
+
+// VoterChanger is implemented by control clients that can change the set of voters.
+type VoterChanger interface {
+	// ChangeVoters changes one voter. The reply goes to the sink, as with ControlClient.Do.
+	ChangeVoters(c VoterChange, reply func(ControlReply)) error
+}
--- a/internal/service/controlclient/local.go
+++ b/internal/service/controlclient/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"briaryard/internal/decide/state"
@@ -23,6 +24,8 @@
 	command state.Command
 	reply   func(port.ControlReply)
 	at      time.Time
+	// confirmed is the revision that a message without a command confirms.
+	confirmed model.Revision
 }
 
 // Local keeps the replicated state in this process alone and in memory. It serves
@@ -35,11 +38,13 @@
 	ring        *ring.Ring[message]
 	leases      []func([]port.Lease)
 	configs     []func(state.AcceptedConfig)
+	statuses    []func(port.ControlStatus)
 
 	// The fields below belong to the control-client duty.
-	machine *state.Machine
-	index   uint64
-	awaits  []message
+	machine   *state.Machine
+	index     uint64
+	awaits    []message
+	confirmed model.Revision
 }
 
 // NewLocal returns the service with an initial configuration.
@@ -90,9 +95,17 @@
 func (l *Local) ReleaseLeases(done func()) { done() }
 
 // ConfirmConfig implements port.ControlClient.
-func (l *Local) ConfirmConfig(model.Revision) {}
+func (l *Local) ConfirmConfig(r model.Revision) { _ = l.ring.Offer(message{confirmed: r}) }
+
+// SubscribeStatus implements port.ControlObserver.
+func (l *Local) SubscribeStatus(sink func(port.ControlStatus)) { l.statuses = append(l.statuses, sink) }
 
 func (l *Local) handle(now time.Time, m message) {
+	if m.command == nil {
+		l.confirmed = max(l.confirmed, m.confirmed)
+		l.publishStatus()
+		return
+	}
 	if _, ok := m.command.(state.Await); ok {
 		l.awaits = append(l.awaits, m)
 		l.answerAwaits(now)
@@ -113,6 +126,7 @@
 	case state.ApplyConfig:
 		if r.Err == nil {
 			l.publishConfig(now)
+			l.publishStatus()
 		}
 	case state.AcquireLease, state.ReleaseLease:
 		l.publishLeases()
@@ -146,6 +160,21 @@
 	for _, sink := range l.leases {
 		sink(out)
 	}
+	l.publishStatus()
+}
+
+func (l *Local) publishStatus() {
+	status := port.ControlStatus{
+		Leader: l.self, Voters: []model.InstanceID{l.self},
+		Confirmed: []port.Confirmation{{Instance: l.self, Revision: l.confirmed}},
+		History:   slices.Clone(l.machine.History()),
+	}
+	for _, lease := range l.machine.Leases() {
+		status.Leases = append(status.Leases, lease)
+	}
+	for _, sink := range l.statuses {
+		sink(status)
+	}
 }
 
 func (l *Local) answerAwaits(now time.Time) {
--- a/internal/service/entry/perform.go
+++ b/internal/service/entry/perform.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"time"
+
 	decide "briaryard/internal/decide/entry"
+	"briaryard/internal/decide/state"
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/metric"
@@ -68,7 +71,14 @@
 
 func (s *Service) sendCommand(e decide.Control) {
 	id, team := e.Request, e.Team
-	err := s.control.Do(e.Command, func(r port.ControlReply) { s.put(controlled{id, team, r}) })
+	_, claim := e.Command.(state.Claim)
+	began := time.Now()
+	err := s.control.Do(e.Command, func(r port.ControlReply) {
+		if claim {
+			s.metrics.Histogram(metric.ClaimLatency, "").Update(time.Since(began).Microseconds())
+		}
+		s.put(controlled{id, team, r})
+	})
 	if err != nil {
 		// The duty must not wait on its own ring, so the failure is handled after this message.
 		s.local = append(s.local, controlled{id, team, port.ControlReply{Err: err}})
--- /dev/null
+++ b/internal/service/frontoperator/handlers.go
@@ -0,0 +1,134 @@
+package frontoperator
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"briaryard/internal/event"
+	"briaryard/internal/fault"
+	"briaryard/internal/httpserve"
+	"briaryard/internal/operator"
+)
+
+const (
+	// answerTimeout bounds the wait for the operator duty.
+	answerTimeout = 5 * time.Second
+	// controlTimeout bounds the wait for the control group.
+	controlTimeout = 10 * time.Second
+	// maxBody bounds a change; the configuration of the design size takes about 200 KB.
+	maxBody = 8 << 20
+)
+
+func (s *Service) unhealthy() map[string]string {
+	unhealthy := make(map[string]string)
+	for name, err := range s.options.Health() {
+		unhealthy[name] = err.Error()
+	}
+	return unhealthy
+}
+
+// getHealth does not ask the duty, so that it answers even when the duty hangs.
+func (s *Service) getHealth(w http.ResponseWriter, _ *http.Request) {
+	h := operator.Health{Unhealthy: s.unhealthy()}
+	status := http.StatusOK
+	if len(h.Unhealthy) > 0 {
+		status = http.StatusServiceUnavailable
+	}
+	httpserve.WriteJSON(w, status, h)
+}
+
+// getDuties does not ask the duty either.
+func (s *Service) getDuties(w http.ResponseWriter, _ *http.Request) {
+	httpserve.WriteJSON(w, http.StatusOK, operator.Duties{Duties: s.host.Duties()})
+}
+
+// show answers with a message made from the picture.
+func (s *Service) show(w http.ResponseWriter, r *http.Request, message func(picture) any) {
+	p, f := s.ask(r.Context())
+	if f != nil {
+		httpserve.WriteProblem(w, f, "")
+		return
+	}
+	httpserve.WriteJSON(w, http.StatusOK, message(p))
+}
+
+func (s *Service) getStatus(w http.ResponseWriter, r *http.Request) {
+	s.show(w, r, func(p picture) any { return s.status(p) })
+}
+
+func (s *Service) getMembers(w http.ResponseWriter, r *http.Request) {
+	s.show(w, r, func(p picture) any { return p.members() })
+}
+
+func (s *Service) getLeases(w http.ResponseWriter, r *http.Request) {
+	s.show(w, r, func(p picture) any { return operator.Leases{Leases: p.leaseList()} })
+}
+
+func (s *Service) getVoters(w http.ResponseWriter, r *http.Request) {
+	s.show(w, r, func(p picture) any {
+		return operator.Voters{Leader: string(p.status.Leader), Voters: p.voters()}
+	})
+}
+
+func (s *Service) getConfig(w http.ResponseWriter, r *http.Request) {
+	s.show(w, r, func(p picture) any {
+		return operator.Config{
+			Revision: uint64(p.accepted.Revision), ChangeID: p.accepted.ChangeID, Operator: p.accepted.Operator,
+			At: p.accepted.At, Content: string(p.accepted.Content), InForce: uint64(p.config.Revision), Confirmed: p.confirmed(),
+		}
+	})
+}
+
+func (s *Service) getHistory(w http.ResponseWriter, r *http.Request) {
+	s.show(w, r, func(p picture) any { return p.history() })
+}
+
+func (s *Service) getMetrics(w http.ResponseWriter, r *http.Request) {
+	s.show(w, r, func(picture) any { return operator.Metrics{Metrics: s.metrics.Values()} })
+}
+
+func (s *Service) getText(w http.ResponseWriter, r *http.Request) {
+	if _, f := s.ask(r.Context()); f != nil {
+		httpserve.WriteProblem(w, f, "")
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_ = s.metrics.WriteText(w)
+}
+
+// getExplain returns the events about one request that this instance still has.
+func (s *Service) getExplain(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get("request")
+	if id == "" {
+		httpserve.WriteProblem(w, &fault.InvalidRequest{Field: "request", Reason: "must not be empty"}, "")
+		return
+	}
+	httpserve.WriteJSON(w, http.StatusOK, operator.Explanation{
+		Request: id, Instance: string(s.options.Instance),
+		Events: s.log.Recent(func(e event.Record) bool { return e.Fields["request"] == id || e.Fields["joined"] == id }),
+	})
+}
+
+func (s *Service) postDrain(w http.ResponseWriter, r *http.Request) {
+	if !operator.RequireJSON(r) {
+		httpserve.WriteProblem(w, &fault.InvalidHeader{Header: "Content-Type", Reason: "want application/json"}, "")
+		return
+	}
+	s.log.Emit(event.OperatorDrain, s.options.Instance, r.RemoteAddr)
+	s.options.Drain()
+	httpserve.WriteJSON(w, http.StatusAccepted, operator.Draining{Instance: string(s.options.Instance)})
+}
+
+// readBody reads the JSON body of a change.
+func readBody(w http.ResponseWriter, r *http.Request, into any) fault.Fault {
+	if !operator.RequireJSON(r) {
+		return &fault.InvalidHeader{Header: "Content-Type", Reason: "want application/json"}
+	}
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return &fault.InvalidRequest{Field: "body", Reason: err.Error()}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/service/frontoperator/message.go
@@ -0,0 +1,99 @@
+package frontoperator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"briaryard/internal/model"
+	"briaryard/internal/operator"
+)
+
+// status returns everything that the status page shows.
+func (s *Service) status(p picture) operator.Status {
+	return operator.Status{
+		Instance: string(s.options.Instance), Incarnation: uint64(s.options.Incarnation),
+		FailureDomain: string(s.options.Domain), Started: s.started, Unhealthy: s.unhealthy(),
+		Revision: uint64(p.config.Revision), Accepted: uint64(p.accepted.Revision),
+		Confirmed: p.confirmed(), Exceptions: p.exceptions(time.Now()),
+		Leases: p.leaseList(), Leader: string(p.status.Leader), Voters: p.voters(),
+		Members: p.members(), Duties: p.duties, Metrics: s.metrics.Values(),
+	}
+}
+
+func (p picture) members() operator.Members {
+	m := operator.Members{Instances: []operator.Instance{}, Servers: []operator.Server{}}
+	for _, i := range p.view.Instances {
+		m.Instances = append(m.Instances, operator.Instance{
+			ID: string(i.ID), Incarnation: uint64(i.Incarnation), State: i.State.String(), FailureDomain: string(i.Domain),
+			CallerAddress: i.CallerAddress, PeerAddress: i.PeerAddress, Voter: i.Voter, Withdrawn: i.Withdrawn,
+		})
+	}
+	for _, b := range p.view.Servers {
+		m.Servers = append(m.Servers, operator.Server{
+			ID: string(b.ID), Incarnation: uint64(b.Incarnation), State: b.State.String(), Kind: b.Kind.String(),
+			Pools: texts(b.Pools), FailureDomain: string(b.Domain), Address: b.Address, Home: string(b.Home),
+			Slots: b.Slots, Generation: b.Generation,
+		})
+	}
+	slices.SortFunc(m.Instances, func(a, b operator.Instance) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(m.Servers, func(a, b operator.Server) int { return strings.Compare(a.ID, b.ID) })
+	return m
+}
+
+func (p picture) leaseList() []operator.Lease {
+	out := []operator.Lease{}
+	for _, l := range p.leases {
+		out = append(out, operator.Lease{Name: l.Name, Holder: string(l.Holder), Epoch: uint64(l.Epoch)})
+	}
+	slices.SortFunc(out, func(a, b operator.Lease) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (p picture) voters() []string { return texts(p.status.Voters) }
+
+func (p picture) confirmed() []operator.Confirmation {
+	out := []operator.Confirmation{}
+	for _, c := range p.status.Confirmed {
+		out = append(out, operator.Confirmation{Instance: string(c.Instance), Revision: uint64(c.Revision), Stopping: c.Stopping})
+	}
+	slices.SortFunc(out, func(a, b operator.Confirmation) int { return strings.Compare(a.Instance, b.Instance) })
+	return out
+}
+
+func (p picture) history() operator.History {
+	h := operator.History{Complete: len(p.status.History) > 0, Changes: []operator.Change{}}
+	changes := p.status.History
+	if !h.Complete {
+		changes = p.seen
+	}
+	for _, c := range changes {
+		h.Changes = append(h.Changes, operator.Change{
+			Revision: uint64(c.Revision), ChangeID: c.ChangeID, Operator: c.Operator, At: c.At,
+		})
+	}
+	return h
+}
+
+func (p picture) exceptions(now time.Time) []operator.Exception {
+	out := []operator.Exception{}
+	for i := range p.config.Exceptions {
+		x := &p.config.Exceptions[i]
+		e := operator.Exception{
+			Target: x.Target(), Field: x.Field, Value: x.Value, Owner: x.Owner, Reason: x.Reason, Ended: x.Ended(now),
+		}
+		if !x.Until.IsZero() {
+			e.Until = x.Until.Format(time.DateOnly)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func texts[T model.PoolID | model.InstanceID](names []T) []string {
+	out := make([]string, len(names))
+	for i, n := range names {
+		out[i] = string(n)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/service/frontoperator/page.go
@@ -0,0 +1,34 @@
+package frontoperator
+
+import (
+	_ "embed"
+	"html/template"
+	"net/http"
+	"time"
+
+	"briaryard/internal/httpserve"
+	"briaryard/internal/operator"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("status").Funcs(template.FuncMap{
+	"since": func(t time.Time) string { return time.Since(t).Round(time.Second).String() },
+}).Parse(pageText))
+
+// getPage shows the status to a person.
+func (s *Service) getPage(w http.ResponseWriter, r *http.Request) {
+	p, f := s.ask(r.Context())
+	if f != nil {
+		httpserve.WriteProblem(w, f, "")
+		return
+	}
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.Header().Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'; form-action 'none'; frame-ancestors 'none'")
+	_ = page.Execute(w, struct {
+		operator.Status
+		History operator.History
+		Now     time.Time
+	}{s.status(p), p.history(), time.Now().UTC()})
+}
--- a/internal/service/frontoperator/service.go
+++ b/internal/service/frontoperator/service.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -12,32 +12,59 @@
 	"briaryard/internal/kernel"
 	"briaryard/internal/metric"
 	"briaryard/internal/model"
+	"briaryard/internal/operator"
 	"briaryard/internal/port"
+	"briaryard/internal/ring"
 )
 
+// ringCapacity holds the changes of a second and as many operators at once as are plausible.
+const ringCapacity = 1024
+
+// Options say which instance the endpoint belongs to.
+type Options struct {
+	Address     string
+	Instance    model.InstanceID
+	Incarnation model.Incarnation
+	Domain      model.FailureDomain
+	// Health reports the unhealthy services of the process.
+	Health func() map[string]error
+	// Drain asks the process to stop gracefully. It does not wait.
+	Drain func()
+}
+
 // Service is the endpoint for operators.
 type Service struct {
-	address string
+	options Options
 	log     *event.Log
 	metrics *metric.Set
-	health  func() map[string]error
+	started time.Time
 	host    *kernel.Host
 	server  *httpserve.Server
-	view    atomic.Pointer[model.View]
+	control port.ControlClient
+	// voters is nil if the control client cannot change the voters.
+	voters port.VoterChanger
+	ring   *ring.Ring[message]
+
+	// picture belongs to the operator duty.
+	picture picture
 }
 
-// New returns the service. health reports the unhealthy services of the process.
-func New(log *event.Log, metrics *metric.Set, address string, health func() map[string]error) *Service {
-	s := &Service{address: address, log: log, metrics: metrics, health: health}
-	s.view.Store(&model.View{})
-	return s
+// New returns the service.
+func New(log *event.Log, metrics *metric.Set, options Options) *Service {
+	return &Service{
+		options: options, log: log, metrics: metrics, started: time.Now(),
+		ring:    ring.New[message]("operator", ringCapacity, ring.Refuse),
+		picture: picture{view: &model.View{}, config: &model.Config{}},
+	}
 }
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return port.OperatorFrontName }
 
 // Needs implements kernel.Service.
-func (s *Service) Needs() []string { return []string{port.MembersName} }
+func (s *Service) Needs() []string {
+	return []string{port.MembersName, port.ControlClientName, port.ConfigName}
+}
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
@@ -45,56 +72,64 @@
 	if err != nil {
 		return err
 	}
-	members.Subscribe(func(v *model.View) { s.view.Store(v) })
+	config, err := kernel.Resolve[port.Config](r, port.ConfigName)
+	if err != nil {
+		return err
+	}
+	if s.control, err = kernel.Resolve[port.ControlClient](r, port.ControlClientName); err != nil {
+		return err
+	}
+	members.Subscribe(func(v *model.View) { s.offer(viewed{v}) })
+	config.Subscribe(func(c *model.Config) { s.offer(inForce{c}) })
+	s.control.SubscribeConfig(func(c acceptedConfig) { s.offer(accepted{c}) })
+	s.control.SubscribeLeases(func(l []port.Lease) { s.offer(leased{l}) })
+	if o, ok := s.control.(port.ControlObserver); ok {
+		o.SubscribeStatus(func(st port.ControlStatus) { s.offer(observed{st}) })
+	}
+	s.voters, _ = s.control.(port.VoterChanger)
 	return nil
 }
 
 // Start implements kernel.Service.
 func (s *Service) Start(h *kernel.Host) error {
 	s.host = h
-	routes := mux.NewRouter()
-	routes.HandleFunc("/operator/v1/health", s.getHealth).Methods(http.MethodGet)
-	routes.HandleFunc("/operator/v1/duties", s.getDuties).Methods(http.MethodGet)
-	routes.HandleFunc("/operator/v1/members", s.getMembers).Methods(http.MethodGet)
-	routes.HandleFunc("/operator/v1/explain", s.getExplain).Methods(http.MethodGet)
+	h.Go("operator", kernel.Loop[message]{Ring: s.ring, Handle: s.handle}.Run, s.ring)
 	var err error
-	if s.server, err = httpserve.Listen(s.address, routes); err != nil {
+	if s.server, err = httpserve.Listen(s.options.Address, s.routes()); err != nil {
 		return err
 	}
 	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), false)
 	return nil
 }
 
-// Stop implements kernel.Service.
-func (s *Service) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
-
-// Address returns the address that operators connect to.
-func (s *Service) Address() string { return s.server.Address() }
-
-func (s *Service) getHealth(w http.ResponseWriter, _ *http.Request) {
-	unhealthy := make(map[string]string)
-	for name, err := range s.health() {
-		unhealthy[name] = err.Error()
-	}
-	status := http.StatusOK
-	if len(unhealthy) > 0 {
-		status = http.StatusServiceUnavailable
+func (s *Service) routes() http.Handler {
+	routes := mux.NewRouter()
+	for path, handle := range map[string]http.HandlerFunc{
+		operator.PathHealth: s.getHealth, operator.PathStatus: s.getStatus, operator.PathDuties: s.getDuties,
+		operator.PathMembers: s.getMembers, operator.PathLeases: s.getLeases, operator.PathVoters: s.getVoters,
+		operator.PathConfig: s.getConfig, operator.PathHistory: s.getHistory, operator.PathExplain: s.getExplain,
+		operator.PathMetrics: s.getMetrics, operator.PathText: s.getText, "/": s.getPage,
+	} {
+		routes.HandleFunc(path, handle).Methods(http.MethodGet)
 	}
-	httpserve.WriteJSON(w, status, map[string]any{"unhealthy": unhealthy})
+	routes.HandleFunc(operator.PathConfig, s.postConfig).Methods(http.MethodPost)
+	routes.HandleFunc(operator.PathVoters, s.postVoters).Methods(http.MethodPost)
+	routes.HandleFunc(operator.PathDrain, s.postDrain).Methods(http.MethodPost)
+	return routes
 }
 
-func (s *Service) getDuties(w http.ResponseWriter, _ *http.Request) {
-	httpserve.WriteJSON(w, http.StatusOK, s.host.Duties())
+// Stop implements kernel.Service.
+func (s *Service) Stop(ctx context.Context) error {
+	err := s.server.Stop(ctx)
+	s.ring.Close()
+	return err
 }
 
-func (s *Service) getMembers(w http.ResponseWriter, _ *http.Request) {
-	httpserve.WriteJSON(w, http.StatusOK, s.view.Load())
-}
+// Address returns the address that operators connect to.
+func (s *Service) Address() string { return s.server.Address() }
 
-// getExplain returns the events about one request that this instance still has.
-func (s *Service) getExplain(w http.ResponseWriter, r *http.Request) {
-	id := r.URL.Query().Get("request")
-	httpserve.WriteJSON(w, http.StatusOK, s.log.Recent(func(e event.Record) bool {
-		return e.Fields["request"] == id
-	}))
+func (s *Service) offer(m message) {
+	if err := s.ring.Offer(m); err != nil {
+		s.log.Emit(event.RingRefused, "operator", err.Error())
+	}
 }
