Add the operating commands and pages that tests compare with the code

The tables in docs/events.md, metrics.md, errors.md and settings.md are generated from the code and compared with it by a test; another test finds log calls outside internal/event.

--- /dev/null
+++ b/cmd/briaryard/docs_test.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"briaryard/internal/event"
+	"briaryard/internal/metric"
+)
+
+var update = flag.Bool("update", false, "rewrite the tables of the pages from the code")
+
+const (
+	tableBegin = "<!-- table: begin -->\n"
+	tableEnd   = "<!-- table: end -->\n"
+)
+
+// TestPages guards against a page that lists something else than the code has. Comparing
+// the whole table catches both a missing row and one that the code no longer has.
+func TestPages(t *testing.T) {
+	for page, table := range map[string]string{
+		"events.md": eventTable(), "metrics.md": metricTable(), "errors.md": errorTable(), "settings.md": settingTable(t),
+	} {
+		path := filepath.Join("..", "..", "docs", page)
+		content, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before, rest, _ := strings.Cut(string(content), tableBegin)
+		listed, after, found := strings.Cut(rest, tableEnd)
+		if !found {
+			t.Fatalf("%s has no table between its marks", page)
+		}
+		if *update {
+			if err := os.WriteFile(path, []byte(before+tableBegin+table+tableEnd+after), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		if listed != table {
+			t.Errorf("%s differs from the code; run go test ./cmd/briaryard -run Pages -update\nlisted:\n%s\nin the code:\n%s", page, listed, table)
+		}
+	}
+}
+
+func markdown(head string, rows [][]string) string {
+	out := "| " + head + " |\n|" + strings.Repeat("---|", strings.Count(head, "|")+1) + "\n"
+	for _, r := range rows {
+		for i := range r {
+			r[i] = strings.ReplaceAll(r[i], "|", "\\|")
+		}
+		out += "| " + strings.Join(r, " | ") + " |\n"
+	}
+	return out
+}
+
+func eventTable() string {
+	var rows [][]string
+	for _, d := range event.Table() {
+		rows = append(rows, []string{fmt.Sprint(d.Number), "`" + d.Name + "`", d.Level.String(), strings.Join(d.Fields, ", "), d.Help})
+	}
+	return markdown("number | event | level | fields | meaning", rows)
+}
+
+func metricTable() string {
+	var rows [][]string
+	for _, d := range metric.Table() {
+		rows = append(rows, []string{"`" + d.Name + "`", string(d.Kind), d.Unit, d.Label, d.Help})
+	}
+	return markdown("metric | kind | unit | label | meaning", rows)
+}
+
+func errorTable() string {
+	var rows [][]string
+	for _, m := range faults() {
+		rows = append(rows, []string{"`" + string(m.Code) + "`", fmt.Sprint(m.Status), "`" + m.RunState.String() + "`", fmt.Sprint(m.Exit), m.Title})
+	}
+	return markdown("code | HTTP status | run state | exit code | title", rows)
+}
+
+func settingTable(t *testing.T) string {
+	p, err := newParser(&commands{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows [][]string
+	for _, command := range p.Model.Children {
+		if command.Name != "serve" {
+			continue
+		}
+		for _, f := range command.Flags {
+			rows = append(rows, []string{"`--" + f.Name + "`", "`" + strings.Join(f.Envs, "`, `") + "`", "`" + f.Default + "`", f.Help})
+		}
+	}
+	return markdown("flag | environment variable | default | meaning", rows)
+}
+
+// TestEventNumbers guards against two events with one number or name.
+func TestEventNumbers(t *testing.T) {
+	numbers, names := make(map[int]string), make(map[string]int)
+	for _, d := range event.Table() {
+		if other, taken := numbers[d.Number]; taken {
+			t.Errorf("%s and %s have the number %d", other, d.Name, d.Number)
+		}
+		if other, taken := names[d.Name]; taken {
+			t.Errorf("events %d and %d have the name %s", other, d.Number, d.Name)
+		}
+		numbers[d.Number], names[d.Name] = d.Name, d.Number
+	}
+}
+
+// logCalls are the functions and methods of log/slog that write a line.
+var logCalls = []string{
+	"Debug", "DebugContext", "Info", "InfoContext", "Warn", "WarnContext", "Error", "ErrorContext", "Log", "LogAttrs",
+}
+
+// mayHoldLogger are the files that make the logger and hand it to internal/event.
+var mayHoldLogger = []string{"internal/app/app.go", "cmd/briaryard/main.go"}
+
+// TestLogsOnlyEvents guards against log lines that docs/events.md does not list.
+func TestLogsOnlyEvents(t *testing.T) {
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		if strings.HasPrefix(path, filepath.Join(root, "internal", "event")+string(filepath.Separator)) {
+			return nil
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, call := range findLogCalls(t, path, source) {
+			t.Errorf("%s logs outside internal/event", call)
+		}
+		if name, _ := filepath.Rel(root, path); strings.Contains(string(source), `"log/slog"`) && !slices.Contains(mayHoldLogger, name) {
+			t.Errorf("%s imports log/slog; only internal/event logs", name)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestFindsLogCalls guards against a scan that finds nothing because it is wrong.
+func TestFindsLogCalls(t *testing.T) {
+	source := `package x
+import ("log"; "log/slog")
+func f(l *slog.Logger, err error) string {
+	slog.Info("a")
+	l.Warn("b")
+	log.Println("c")
+	return err.Error()
+}`
+	if found := findLogCalls(t, "x.go", []byte(source)); len(found) != 3 {
+		t.Errorf("found %v, want 3 calls", found)
+	}
+}
+
+func findLogCalls(t *testing.T, path string, source []byte) []string {
+	set := token.NewFileSet()
+	file, err := parser.ParseFile(set, path, source, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found []string
+	slogUsed := false
+	for _, i := range file.Imports {
+		slogUsed = slogUsed || i.Path.Value == `"log/slog"`
+		if i.Path.Value == `"log"` {
+			found = append(found, set.Position(i.Pos()).String()+": import of log")
+		}
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		if !ok || !slogUsed || len(call.Args) == 0 {
+			return true
+		}
+		if s, ok := call.Fun.(*ast.SelectorExpr); ok && slices.Contains(logCalls, s.Sel.Name) {
+			found = append(found, set.Position(call.Pos()).String()+": "+s.Sel.Name)
+		}
+		return true
+	})
+	return found
+}
+
+// TestHelp guards against a command or flag that a newcomer finds no explanation of.
+func TestHelp(t *testing.T) {
+	p, err := newParser(&commands{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Stdout, p.Stderr = io.Discard, io.Discard
+	for _, leaf := range p.Model.Leaves(false) {
+		if leaf.Help == "" {
+			t.Errorf("command %q has no help", leaf.Path())
+		}
+		for _, f := range leaf.Flags {
+			if f.Help == "" {
+				t.Errorf("flag --%s of %q has no help", f.Name, leaf.Path())
+			}
+		}
+	}
+}
--- a/cmd/briaryard/main.go
+++ b/cmd/briaryard/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
@@ -9,37 +10,72 @@
 	"github.com/alecthomas/kong"
 
 	"briaryard/internal/fault"
+	"briaryard/internal/httpserve"
 )
 
 // commands is the command line.
 type commands struct {
-	Serve serveCommand `cmd:"" help:"Run one instance."`
-	Dev   devCommand   `cmd:"" help:"Run an instance with stand-in backend servers, to try briaryard out."`
+	Output string `help:"Form of answers: text for people, json for programs." enum:"text,json" default:"text" env:"BRIARYARD_OUTPUT"`
+
+	Serve   serveCommand   `cmd:"" group:"Run" help:"Run one instance."`
+	Dev     devCommand     `cmd:"" group:"Run" help:"Run an instance with stand-in backend servers, to try briaryard out."`
+	Config  configCommands `cmd:"" group:"Operate" help:"Check and change the fleet configuration."`
+	Status  statusCommand  `cmd:"" group:"Operate" help:"Show health, revisions, leases, members and duties."`
+	Explain explainCommand `cmd:"" group:"Operate" help:"Show the decisions about one request."`
+	Drain   drainCommand   `cmd:"" group:"Operate" help:"Stop an instance gracefully: it cuts off no answer."`
+	Voters  votersCommands `cmd:"" group:"Operate" help:"List and change the voters of the control group."`
+	Metrics metricsCommand `cmd:"" group:"Operate" help:"Show the metrics of an instance."`
+	Events  eventsCommand  `cmd:"" group:"Look up" help:"List the log events with their numbers."`
+	Errors  errorsCommand  `cmd:"" group:"Look up" help:"List the failures with status, run state and exit code."`
+	Version versionCommand `cmd:"" group:"Look up" help:"Show the version of this program."`
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+const description = `A request scheduler between callers and backend servers that behave differently.
+
+To try it out: "briaryard dev" in one terminal, "briaryard status" in another, and the status page at http://127.0.0.1:8082/.
+
+To change the configuration: edit the files in version control, then "briaryard config validate DIR", "briaryard config diff DIR" and "briaryard config apply DIR --wait".
 
-func run(args []string) int {
+Exit codes: 0 success, 1 internal failure, 2 wrong usage, 3 invalid or not allowed, 4 conflict with another change, 5 unavailable (try again), 6 stop cut short by a second signal.`
+
+func main() { os.Exit(run(os.Args[1:], printer{out: os.Stdout, err: os.Stderr})) }
+
+func newParser(c *commands) (*kong.Kong, error) {
+	return kong.New(c, kong.Name("briaryard"), kong.Description(description), kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+}
+
+func run(args []string, p printer) int {
 	var c commands
-	parser, err := kong.New(&c, kong.Name("briaryard"),
-		kong.Description("A request scheduler between callers and backend servers that behave differently."),
-		kong.UsageOnError())
+	parser, err := newParser(&c)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		_, _ = fmt.Fprintln(p.err, err)
 		return fault.ExitInternal
 	}
+	parser.Stdout, parser.Stderr = p.out, p.err
 	ctx, err := parser.Parse(args)
 	if err != nil {
 		parser.Errorf("%s", err)
 		return fault.ExitUsage
 	}
-	if err := ctx.Run(); err != nil {
-		parser.Errorf("%s", err)
+	p.json = c.Output == "json"
+	if err := ctx.Run(&p); err != nil {
+		p.failure(err)
 		return fault.MappingOf(fault.Of(err)).Exit
 	}
 	return exitCode
 }
 
+// failure prints an error: as a problem document for programs, as text for people.
+func (p *printer) failure(err error) {
+	f := fault.Of(err)
+	if p.json {
+		_ = json.NewEncoder(p.err).Encode(httpserve.ProblemOf(f, ""))
+		return
+	}
+	_, _ = fmt.Fprintf(p.err, "briaryard: %s: %s\n", fault.MappingOf(f).Title, f.Error())
+}
+
 // exitCode is set by a command that ends without an error but not with success.
 var exitCode = fault.ExitOK
 
--- /dev/null
+++ b/cmd/briaryard/operate.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"briaryard/internal/fault"
+	"briaryard/internal/operator"
+)
+
+type statusCommand struct{ remote }
+
+// Run implements the command.
+func (c *statusCommand) Run(p *printer) error {
+	var s operator.Status
+	if err := c.client().Get(context.Background(), operator.PathStatus, &s); err != nil {
+		return err
+	}
+	if len(s.Unhealthy) > 0 {
+		exitCode = fault.ExitUnavailable
+	}
+	return p.answer(s, func() { p.status(s) })
+}
+
+func (p *printer) status(s operator.Status) {
+	p.line("instance %s in failure domain %s, up %s", s.Instance, s.FailureDomain, time.Since(s.Started).Round(time.Second))
+	if len(s.Unhealthy) == 0 {
+		p.line("health: all services work")
+	}
+	for name, reason := range s.Unhealthy {
+		p.line("UNHEALTHY %s: %s", name, reason)
+	}
+	p.line("configuration: revision %d in force here, %d accepted", s.Revision, s.Accepted)
+	for _, x := range s.Exceptions {
+		if x.Ended {
+			p.line("ENDED exception: %s of %s, owner %s, until %s", x.Field, x.Target, x.Owner, x.Until)
+		}
+	}
+	p.line("control group: leader %s, voters %s\n", or(s.Leader, "unknown"), or(strings.Join(s.Voters, ", "), "unknown"))
+	revisions := make(map[string]uint64)
+	for _, c := range s.Confirmed {
+		revisions[c.Instance] = c.Revision
+	}
+	rows := [][]string{{"INSTANCE", "DOMAIN", "STATE", "REVISION", "VOTER", "WITHDRAWN"}}
+	for _, i := range s.Instances {
+		rows = append(rows, []string{i.ID, i.FailureDomain, i.State, fmt.Sprint(revisions[i.ID]), fmt.Sprint(i.Voter), fmt.Sprint(i.Withdrawn)})
+	}
+	p.table(rows)
+	rows = [][]string{{"\nBACKEND SERVER", "KIND", "POOLS", "DOMAIN", "STATE", "SLOTS"}}
+	for _, b := range s.Servers {
+		rows = append(rows, []string{b.ID, b.Kind, strings.Join(b.Pools, ","), b.FailureDomain, b.State, fmt.Sprint(b.Slots)})
+	}
+	p.table(rows)
+	rows = [][]string{{"\nLEASE", "HOLDER", "EPOCH"}}
+	for _, l := range s.Leases {
+		rows = append(rows, []string{l.Name, or(l.Holder, "nobody"), fmt.Sprint(l.Epoch)})
+	}
+	p.table(rows)
+	rows = [][]string{{"\nDUTY", "RING", "WAITING", "MOST", "CAPACITY", "REFUSED"}}
+	for _, d := range s.Duties {
+		for _, r := range d.Rings {
+			rows = append(rows, []string{d.Name, r.Name, fmt.Sprint(r.Depth), fmt.Sprint(r.HighWater), fmt.Sprint(r.Capacity), fmt.Sprint(r.Refused)})
+		}
+	}
+	p.table(rows)
+}
+
+func or(text, otherwise string) string {
+	if text == "" {
+		return otherwise
+	}
+	return text
+}
+
+type explainCommand struct {
+	remote
+	Request string `arg:"" help:"Request id, from the Briaryard-Request header or a problem document."`
+}
+
+// Run implements the command. The entry instance and the dispatcher of the pool each keep a
+// part of the events, so every address is asked.
+func (c *explainCommand) Run(p *printer) error {
+	all := operator.Explanation{Request: c.Request}
+	var asked []string
+	var failure error
+	for _, address := range c.Address {
+		e, err := c.client().At(address).Explain(context.Background(), c.Request)
+		if err != nil {
+			failure = err
+			p.progress("%v", err)
+			continue
+		}
+		asked = append(asked, e.Instance)
+		all.Events = append(all.Events, e.Events...)
+	}
+	if len(asked) == 0 {
+		return failure
+	}
+	all.Instance = strings.Join(asked, ",")
+	sort.SliceStable(all.Events, func(i, j int) bool { return all.Events[i].Time.Before(all.Events[j].Time) })
+	return p.answer(all, func() {
+		if len(all.Events) == 0 {
+			p.line("no events about %s at %s; they are kept for the last 8192 events of an instance", c.Request, all.Instance)
+		}
+		for _, e := range all.Events {
+			p.line("%s %d %s %s", e.Time.UTC().Format("15:04:05.000"), e.Number, e.Event, fields(e.Fields))
+		}
+	})
+}
+
+func fields(values map[string]any) string {
+	var parts []string
+	for name, v := range values {
+		if name != "request" {
+			parts = append(parts, fmt.Sprintf("%s=%v", name, v))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+type drainCommand struct {
+	Address string `help:"Operator address (host:port) of the instance to stop." required:""`
+}
+
+// Run implements the command.
+func (c *drainCommand) Run(p *printer) error {
+	var d operator.Draining
+	client := operator.NewClient([]string{c.Address})
+	if err := client.Post(context.Background(), operator.PathDrain, struct{}{}, &d); err != nil {
+		return err
+	}
+	return p.answer(d, func() {
+		p.line("instance %s stops: it leaves the address list, finishes its answers and exits with code 0", d.Instance)
+	})
+}
+
+type metricsCommand struct {
+	remote
+	Exposition bool `help:"Print the text exposition format for scrapers."`
+}
+
+// Run implements the command.
+func (c *metricsCommand) Run(p *printer) error {
+	if c.Exposition {
+		text, err := c.client().Text(context.Background(), operator.PathText)
+		_, _ = fmt.Fprint(p.out, text)
+		return err
+	}
+	var m operator.Metrics
+	if err := c.client().Get(context.Background(), operator.PathMetrics, &m); err != nil {
+		return err
+	}
+	return p.answer(m, func() {
+		rows := [][]string{{"METRIC", "LABEL", "VALUE", "UNIT"}}
+		for _, v := range m.Metrics {
+			rows = append(rows, []string{v.Name, v.LabelValue, fmt.Sprint(v.Value), v.Unit})
+		}
+		p.table(rows)
+	})
+}
--- a/internal/fault/config.go
+++ b/internal/fault/config.go
@@ -14,6 +14,7 @@
 	CodeInvalidSetting = register("invalid-setting", "Invalid process setting", http.StatusInternalServerError, model.NotRun, ExitUsage)
 	CodeUnsupported    = register("unsupported", "Operation not available", http.StatusNotImplemented, model.NotRun, ExitUnavailable)
 
+	CodeNotConfirmed        = register("not-confirmed", "Change accepted but not yet in force everywhere", http.StatusServiceUnavailable, model.Ran, ExitUnavailable)
 	CodeOperatorUnreachable = register("operator-unreachable", "Operator endpoint cannot be reached", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
 )
 
@@ -121,3 +122,15 @@
 
 // Unwrap returns the cause.
 func (e *ListenFailed) Unwrap() error { return e.Err }
+
+// NotConfirmed reports an accepted change that some instances have not confirmed in time.
+type NotConfirmed struct {
+	Revision  model.Revision
+	Instances []string
+}
+
+// Code implements Fault.
+func (e *NotConfirmed) Code() Code { return CodeNotConfirmed }
+func (e *NotConfirmed) Error() string {
+	return fmt.Sprintf("revision %d is accepted but not yet confirmed by %s", e.Revision, strings.Join(e.Instances, ", "))
+}
--- /dev/null
+++ b/internal/service/frontoperator/frontoperator_test.go
@@ -0,0 +1,122 @@
+package frontoperator_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"briaryard/internal/decide/state"
+	"briaryard/internal/event"
+	"briaryard/internal/fault"
+	"briaryard/internal/kernel"
+	"briaryard/internal/metric"
+	"briaryard/internal/model"
+	"briaryard/internal/operator"
+	"briaryard/internal/port"
+	"briaryard/internal/service/frontoperator"
+)
+
+func TestFrontOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "frontoperator")
+}
+
+// fleet stands in for the members, config and controlclient services.
+type fleet struct {
+	name string
+	port.Members
+	port.ControlClient
+	reply  port.ControlReply
+	config func(state.AcceptedConfig)
+}
+
+func (f *fleet) Name() string                                            { return f.name }
+func (f *fleet) Needs() []string                                         { return nil }
+func (f *fleet) Provision(kernel.Resolver) error                         { return nil }
+func (f *fleet) Start(*kernel.Host) error                                { return nil }
+func (f *fleet) Stop(context.Context) error                              { return nil }
+func (f *fleet) SubscribeLeases(func([]port.Lease))                      {}
+func (f *fleet) SubscribeConfig(sink func(state.AcceptedConfig))         { f.config = sink }
+func (f *fleet) Do(_ state.Command, reply func(port.ControlReply)) error { reply(f.reply); return nil }
+func (f *fleet) ChangeVoters(_ port.VoterChange, reply func(port.ControlReply)) error {
+	reply(f.reply)
+	return nil
+}
+
+type members struct{ *fleet }
+
+func (members) Subscribe(func(*model.View)) {}
+
+type configs struct{ *fleet }
+
+func (configs) Subscribe(func(*model.Config)) {}
+
+func serve(control *fleet) *operator.Client {
+	GinkgoHelper()
+	s := frontoperator.New(event.New(slog.New(slog.NewTextHandler(io.Discard, nil))), metric.NewSet(), frontoperator.Options{
+		Address: "127.0.0.1:0", Instance: "i1", Health: func() map[string]error { return nil }, Drain: func() {},
+	})
+	k := kernel.New(func(error) {})
+	for _, service := range []kernel.Service{members{&fleet{name: port.MembersName}}, configs{&fleet{name: port.ConfigName}}, control, s} {
+		Expect(k.Register(service)).To(Succeed())
+	}
+	Expect(k.Start(context.Background())).To(Succeed())
+	DeferCleanup(func() { Expect(k.Stop(context.Background())).To(Succeed()) })
+	return operator.NewClient([]string{s.Address()})
+}
+
+var change = operator.Apply{ChangeID: "c", Operator: "o", Content: "teams: {a: {}}"}
+
+var _ = Describe("a change", func() {
+	// A lost answer must not be reported as a refusal: the change may be in force.
+	It("is answered may_have_run when the control group does not answer", func() {
+		client := serve(&fleet{name: port.ControlClientName, reply: port.ControlReply{Err: &fault.ControlUnavailable{}}})
+		err := client.Post(context.Background(), operator.PathConfig, change, &operator.Applied{})
+		Expect(fault.Of(err).Code()).To(Equal(fault.CodeControlUnavailable))
+		Expect(fault.MappingOf(fault.Of(err)).RunState).To(Equal(model.MayHaveRun))
+	})
+
+	It("passes on the typed refusal of the control group", func() {
+		refusal := state.Result{Err: &fault.ChangeReused{ChangeID: "c"}}
+		client := serve(&fleet{name: port.ControlClientName, reply: port.ControlReply{Result: refusal}})
+		err := client.Post(context.Background(), operator.PathConfig, change, &operator.Applied{})
+		Expect(fault.Of(err).Code()).To(Equal(fault.CodeChangeReused))
+	})
+
+	DescribeTable("is refused before it reaches the control group",
+		func(a operator.Apply) {
+			client := serve(&fleet{name: port.ControlClientName})
+			Expect(fault.Of(client.Post(context.Background(), operator.PathConfig, a, &operator.Applied{})).Code()).
+				To(Equal(fault.CodeInvalidRequest))
+		},
+		Entry("without an id", operator.Apply{Operator: "o"}),
+		Entry("without an operator", operator.Apply{ChangeID: "c"}),
+	)
+
+	It("of the voters goes to a control client that offers it", func() {
+		client := serve(&fleet{name: port.ControlClientName})
+		var answer operator.VoterChange
+		Expect(client.Post(context.Background(), operator.PathVoters, operator.VoterChange{Instance: "i2"}, &answer)).To(Succeed())
+		Expect(answer.Instance).To(Equal("i2"))
+	})
+})
+
+var _ = Describe("the history", func() {
+	// A partial list that looks complete misleads an operator who looks for a change.
+	It("says that it is incomplete when the control client keeps none", func() {
+		control := &fleet{name: port.ControlClientName}
+		client := serve(control)
+		for r := range model.Revision(3) {
+			control.config(state.AcceptedConfig{Revision: r + 5, ChangeID: "c"})
+		}
+		control.config(state.AcceptedConfig{Revision: 6, ChangeID: "late"})
+		var h operator.History
+		Expect(client.Get(context.Background(), operator.PathHistory, &h)).To(Succeed())
+		Expect(h.Complete).To(BeFalse())
+		Expect(h.Changes).To(HaveLen(3))
+	})
+})
