--- a/cmd/briaryard/docs_test.go
+++ b/cmd/briaryard/docs_test.go
@@ -129,25 +129,33 @@
 
 // TestLogsOnlyEvents guards against log lines that docs/events.md does not list.
 func TestLogsOnlyEvents(t *testing.T) {
+	walkSources(t, func(path string, source []byte) {
+		if strings.HasPrefix(path, "internal/event/") {
+			return
+		}
+		for _, call := range findLogCalls(t, path, source) {
+			t.Errorf("%s logs outside internal/event", call)
+		}
+		if strings.Contains(string(source), `"log/slog"`) && !slices.Contains(mayHoldLogger, path) {
+			t.Errorf("%s imports log/slog; only internal/event logs", path)
+		}
+	})
+}
+
+// walkSources visits the Go files of the project except tests.
+func walkSources(t *testing.T, visit func(path string, source []byte)) {
 	root := filepath.Join("..", "..")
 	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
-		if strings.HasPrefix(path, filepath.Join(root, "internal", "event")+string(filepath.Separator)) {
-			return nil
-		}
 		source, err := os.ReadFile(path)
 		if err != nil {
 			return err
 		}
-		for _, call := range findLogCalls(t, path, source) {
-			t.Errorf("%s logs outside internal/event", call)
-		}
-		if name, _ := filepath.Rel(root, path); strings.Contains(string(source), `"log/slog"`) && !slices.Contains(mayHoldLogger, name) {
-			t.Errorf("%s imports log/slog; only internal/event logs", name)
-		}
-		return nil
+		name, err := filepath.Rel(root, path)
+		visit(filepath.ToSlash(name), source)
+		return err
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -196,6 +204,50 @@
 	return found
 }
 
+// TestDefinitionsAreUsed guards against a page that lists an event or a metric that no code
+// writes.
+func TestDefinitionsAreUsed(t *testing.T) {
+	for _, name := range []string{"event", "metric"} {
+		defined, used := make(map[string]bool), make(map[string]bool)
+		walkSources(t, func(path string, source []byte) {
+			file, err := parser.ParseFile(token.NewFileSet(), path, source, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ast.Inspect(file, func(n ast.Node) bool {
+				switch n := n.(type) {
+				case *ast.ValueSpec:
+					if file.Name.Name == name && len(n.Values) == 1 && isDefine(n.Values[0]) {
+						defined[n.Names[0].Name] = true
+					}
+				case *ast.SelectorExpr:
+					if pkg, ok := n.X.(*ast.Ident); ok && pkg.Name == name {
+						used[n.Sel.Name] = true
+					}
+				}
+				return true
+			})
+		})
+		if len(defined) == 0 {
+			t.Errorf("found no definition in package %s", name)
+		}
+		for d := range defined {
+			if !used[d] {
+				t.Errorf("%s.%s is defined but never written", name, d)
+			}
+		}
+	}
+}
+
+func isDefine(e ast.Expr) bool {
+	call, ok := e.(*ast.CallExpr)
+	if !ok {
+		return false
+	}
+	f, ok := call.Fun.(*ast.Ident)
+	return ok && f.Name == "define"
+}
+
 // TestHelp guards against a command or flag that a newcomer finds no explanation of.
 func TestHelp(t *testing.T) {
 	p, err := newParser(&commands{})
--- a/internal/metric/request.go
+++ b/internal/metric/request.go
@@ -2,7 +2,7 @@
 
 // Metrics of requests.
 var (
-	RequestsAccepted = define(KindCounter, "requests_accepted", "requests", "tier", "Requests accepted by this instance.")
+	RequestsAccepted = define(KindCounter, "requests_accepted", "requests", "tier", "Requests that callers handed to this instance, by the tier they state (default if none).")
 	RequestsAnswered = define(KindCounter, "requests_answered", "requests", "tier", "Requests answered whole.")
 	RequestsGood     = define(KindCounter, "requests_good", "requests", "tier", "Requests answered whole within their deadline (goodput).")
 	RequestsRefused  = define(KindCounter, "requests_refused", "requests", "code", "Requests refused, by problem type.")
--- a/internal/service/entry/service.go
+++ b/internal/service/entry/service.go
@@ -201,6 +201,7 @@
 		a.Fingerprint = fingerprint(sub)
 	}
 	s.log.Emit(event.RequestAccepted, sub.ID.String(), sub.Team, tierName(sub.Tier), sub.Pool, sub.Timeout, sub.Key != "")
+	s.metrics.Counter(metric.RequestsAccepted, tierName(sub.Tier)).Inc(1)
 	s.perform(s.machine.Arrive(now, a))
 }
 
