--- a/cmd/briaryard/apply.go
+++ b/cmd/briaryard/apply.go
@@ -57,7 +57,8 @@
 	if !p.json {
 		p.differences(current.Revision, answer.Differences)
 	}
-	if len(answer.Differences) == 0 && (c.Base == nil || *c.Base <= current.Revision) {
+	// A withdrawn instance may not know the newest revision, so the control group decides.
+	if len(answer.Differences) == 0 && !current.Withdrawn && (c.Base == nil || *c.Base <= current.Revision) {
 		answer.Unchanged = true
 		answer.Applied = operator.Applied{Revision: current.Revision, ChangeID: current.ChangeID}
 	} else if err := c.send(ctx, p, current.Revision, content, &answer.Applied); err != nil {
--- a/cmd/briaryard/config.go
+++ b/cmd/briaryard/config.go
@@ -149,6 +149,9 @@
 		return err
 	}
 	return p.answer(current, func() {
+		if current.Withdrawn {
+			p.progress("the instance cannot confirm its configuration; there may be a newer one")
+		}
 		p.line("# revision %d, change %s, operator %s, accepted %s", current.Revision, current.ChangeID, current.Operator, current.At.UTC().Format(time.RFC3339))
 		_, _ = fmt.Fprint(p.out, current.Content)
 	})
--- a/cmd/briaryard/docs_test.go
+++ b/cmd/briaryard/docs_test.go
@@ -10,6 +10,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -105,6 +106,31 @@
 	return markdown("flag | environment variable | default | meaning", rows)
 }
 
+// TestLinks guards against links between pages that lead nowhere.
+func TestLinks(t *testing.T) {
+	root := filepath.Join("..", "..")
+	var pages []string
+	for _, pattern := range []string{"*.md", "docs/*.md", "docs/decisions/*.md"} {
+		found, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			t.Fatal(err)
+		}
+		pages = append(pages, found...)
+	}
+	link := regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+	for _, page := range pages {
+		content, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range link.FindAllStringSubmatch(string(content), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), m[1])); err != nil {
+				t.Errorf("%s links to %s, which does not exist", page, m[1])
+			}
+		}
+	}
+}
+
 // TestEventNumbers guards against two events with one number or name.
 func TestEventNumbers(t *testing.T) {
 	numbers, names := make(map[int]string), make(map[string]int)
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -101,12 +101,15 @@
 // Config is the answer of GET PathConfig: the newest accepted configuration that this
 // instance knows and the revision in force at each instance.
 type Config struct {
-	Revision  uint64         `json:"revision"`
-	ChangeID  string         `json:"change_id"`
-	Operator  string         `json:"operator"`
-	At        time.Time      `json:"at"`
-	Content   string         `json:"content"`
-	InForce   uint64         `json:"in_force_here"`
+	Revision uint64    `json:"revision"`
+	ChangeID string    `json:"change_id"`
+	Operator string    `json:"operator"`
+	At       time.Time `json:"at"`
+	Content  string    `json:"content"`
+	InForce  uint64    `json:"in_force_here"`
+	// Withdrawn means that the instance cannot confirm its configuration, so that there
+	// may be a newer one.
+	Withdrawn bool           `json:"withdrawn"`
 	Confirmed []Confirmation `json:"confirmed"`
 }
 
--- a/internal/service/frontoperator/handlers.go
+++ b/internal/service/frontoperator/handlers.go
@@ -73,9 +73,10 @@
 
 func (s *Service) getConfig(w http.ResponseWriter, r *http.Request) {
 	s.show(w, r, func(p picture) any {
+		self, _ := p.view.Instance(s.options.Instance)
 		return operator.Config{
 			Revision: uint64(p.accepted.Revision), ChangeID: p.accepted.ChangeID, Operator: p.accepted.Operator,
-			At: p.accepted.At, Content: string(p.accepted.Content), InForce: uint64(p.config.Revision), Confirmed: p.confirmed(),
+			At: p.accepted.At, Content: string(p.accepted.Content), InForce: uint64(p.config.Revision), Confirmed: p.confirmed(), Withdrawn: self.Withdrawn,
 		}
 	})
 }
