--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -210,10 +210,14 @@
 
 	// A canonical document that depends on the order of files makes every diff useless.
 	It("gives the same document however it is spread over files", func() {
-		files := example("office")
+		files := []declare.File{
+			{Name: "1", Content: []byte(base)},
+			{Name: "2", Content: []byte("teams: {d: {}, c: {}}\nexceptions: [{scope: {team: c}, field: weight, value: 3, " + signed + "}]")},
+			{Name: "3", Content: []byte("pools: {m: {}}\nexceptions: [{scope: {team: a}, field: weight, value: 4, " + signed + "}]")},
+		}
 		_, one, err := declare.Check(files, today)
 		Expect(err).NotTo(HaveOccurred())
-		files[0], files[3] = files[3], files[0]
+		files[0], files[2] = files[2], files[0]
 		_, two, err := declare.Check(files, today)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(two)).To(Equal(string(one)))
--- a/internal/declare/merge.go
+++ b/internal/declare/merge.go
@@ -87,12 +87,17 @@
 	return &c
 }
 
-// canonical returns the document with sections in fixed order and names sorted, so that the
-// same configuration gives the same bytes however it is spread over files.
+// canonical returns the document with sections in fixed order and names and exceptions
+// sorted, so that the same configuration gives the same bytes however it is spread over
+// files. Exceptions never overlap, so their order means nothing; that of routes does.
 func canonical(root *node) yaml.MapSlice {
 	var out yaml.MapSlice
 	for _, name := range sections {
 		if n := root.get(name); n != nil {
+			if name == "exceptions" && n.kind == listNode {
+				n = shallow(n)
+				sort.SliceStable(n.items, func(i, j int) bool { return text(n.items[i]) < text(n.items[j]) })
+			}
 			out = append(out, yaml.MapItem{Key: name, Value: plain(n)})
 		}
 	}
