--- a/cmd/briaryard/main.go
+++ b/cmd/briaryard/main.go
@@ -28,6 +28,10 @@
 	Events  eventsCommand  `cmd:"" group:"Look up" help:"List the log events with their numbers."`
 	Errors  errorsCommand  `cmd:"" group:"Look up" help:"List the failures with status, run state and exit code."`
 	Version versionCommand `cmd:"" group:"Look up" help:"Show the version of this program."`
+	Load    loadCommand    `cmd:"" group:"Test" help:"Load a fleet on loopback and judge its answers."`
+	Bench   benchCommand   `cmd:"" group:"Test" help:"Measure what an instance adds to a call, in one process."`
+
+	Standin standinCommand `cmd:"" hidden:"" help:"Run a stand-in backend server."`
 }
 
 const description = `A request scheduler between callers and backend servers that behave differently.
@@ -84,3 +88,6 @@
 	_ = l.UnmarshalText([]byte(level))
 	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
 }
+
+// quietLogger drops every event, so that a measurement does not include writing them.
+func quietLogger() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- a/internal/service/entry/service.go
+++ b/internal/service/entry/service.go
@@ -127,13 +127,14 @@
 
 // Submit implements port.Entry.
 func (s *Service) Submit(sub port.Submission) error {
-	if s.ring.Stats().Depth >= ringCapacity-reserved {
-		return &fault.Overloaded{Resource: "entry ring"}
+	if s.ring.Stats().Depth < ringCapacity-reserved && s.ring.Offer(submitted{sub}) == nil {
+		return nil
 	}
-	if err := s.ring.Offer(submitted{sub}); err != nil {
-		return &fault.Overloaded{Resource: "entry ring"}
+	overloaded := &fault.Overloaded{Resource: "entry ring"}
+	if sub.Key == "" {
+		return overloaded
 	}
-	return nil
+	return &fault.KeyUnchecked{Cause: overloaded}
 }
 
 // CallerGone implements port.Entry.
@@ -269,6 +270,9 @@
 		s.perform(s.machine.Failed(e.Request, stats))
 	case port.TransferCancelled:
 		s.perform(s.machine.CancelledTransfer(e.Request, stats))
+	case port.TransferMissed:
+		s.callers[e.Caller] = e.Events
+		s.perform(s.machine.Missed(e.Request, e.Caller))
 	case port.TransferDetached:
 		s.log.Emit(event.CallerDetached, e.Request.String(), e.Caller.String())
 		s.perform(s.machine.Detached(e.Request, e.Caller))
