--- a/cmd/briaryard/bench.go
+++ b/cmd/briaryard/bench.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"log/slog"
 	"time"
 
 	"briaryard/internal/app"
@@ -30,7 +28,7 @@
 func (c *benchCommand) Run() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	i := app.New(c.settings(), slog.New(slog.NewTextHandler(io.Discard, nil)), devConfig)
+	i := app.New(c.settings(), quietLogger(), devConfig)
 	if err := i.Start(ctx); err != nil {
 		return err
 	}
--- a/cmd/briaryard/load.go
+++ b/cmd/briaryard/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"os"
 	"os/signal"
 	"time"
@@ -20,11 +19,10 @@
 	Duration   time.Duration `help:"Length of the run." default:"20s"`
 	Seed       uint64        `help:"Seed of the schedule." default:"1"`
 	Domain     string        `help:"Failure domain that the callers are in."`
-	Output     string        `help:"Form of the report: text or json." default:"text" enum:"text,json"`
 }
 
 // Run implements the command.
-func (c *loadCommand) Run() error {
+func (c *loadCommand) Run(p *printer) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	mix, err := load.MixByName(c.Mix)
@@ -37,12 +35,8 @@
 	if err != nil {
 		return err
 	}
-	if c.Output == "json" {
-		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
-			return err
-		}
-	} else {
-		report.Print(os.Stdout)
+	if err := p.answer(report, func() { report.Print(p.out) }); err != nil {
+		return err
 	}
 	if faults := report.Faults(); len(faults) > 0 {
 		return &fault.PromiseBroken{Faults: faults}
--- a/internal/service/controlclient/local.go
+++ b/internal/service/controlclient/local.go
@@ -23,6 +23,8 @@
 	command state.Command
 	reply   func(port.ControlReply)
 	at      time.Time
+	// confirmed is the revision that a message without a command confirms.
+	confirmed model.Revision
 }
 
 // Local keeps the replicated state in this process alone and in memory. It serves
@@ -36,11 +38,13 @@
 	leases      []func([]port.Lease)
 	configs     []func(state.AcceptedConfig)
 	confirmed   []func(bool)
+	statuses    []func(port.ControlStatus)
 
 	// The fields below belong to the control-client duty.
 	machine *state.Machine
 	index   uint64
 	awaits  []message
+	inForce model.Revision
 }
 
 // NewLocal returns the service with an initial configuration.
@@ -97,9 +101,17 @@
 func (l *Local) ReleaseLeases(done func()) { done() }
 
 // ConfirmConfig implements port.ControlClient.
-func (l *Local) ConfirmConfig(model.Revision) {}
+func (l *Local) ConfirmConfig(r model.Revision) { _ = l.ring.Offer(message{confirmed: r}) }
+
+// SubscribeStatus implements port.ControlObserver.
+func (l *Local) SubscribeStatus(sink func(port.ControlStatus)) { l.statuses = append(l.statuses, sink) }
 
 func (l *Local) handle(now time.Time, m message) {
+	if m.command == nil {
+		l.inForce = max(l.inForce, m.confirmed)
+		l.publishStatus()
+		return
+	}
 	if _, ok := m.command.(state.Await); ok {
 		l.awaits = append(l.awaits, m)
 		l.answerAwaits(now)
@@ -120,6 +132,7 @@
 	case state.ApplyConfig:
 		if r.Err == nil {
 			l.publishConfig(now)
+			l.publishStatus()
 		}
 	case state.AcquireLease, state.ReleaseLease:
 		l.publishLeases()
@@ -153,6 +166,23 @@
 	for _, sink := range l.leases {
 		sink(out)
 	}
+	l.publishStatus()
+}
+
+func (l *Local) publishStatus() {
+	status := port.ControlStatus{
+		Leader: l.self, Voters: []model.InstanceID{l.self},
+		Confirmed: []port.Confirmation{{Instance: l.self, Revision: l.inForce}},
+	}
+	for _, change := range l.machine.History() {
+		status.History = append(status.History, change.AcceptedConfig)
+	}
+	for _, lease := range l.machine.Leases() {
+		status.Leases = append(status.Leases, lease)
+	}
+	for _, sink := range l.statuses {
+		sink(status)
+	}
 }
 
 func (l *Local) answerAwaits(now time.Time) {
