Wire the control group and the remote control client into the instance

Cause: the voter, the leader's tracking of instances and the remote client stood side by side. Change: serve runs a voter where a data folder is set, and reaches the control group through the remote client; an instance whose configuration is not confirmed refuses new requests and leaves the address list. dev keeps the control state in memory. A fleet of processes needs the peer connections.

--- a/cmd/briaryard/bench.go
+++ b/cmd/briaryard/bench.go
@@ -20,7 +20,7 @@
 func (c *benchCommand) settings() app.Settings {
 	return app.Settings{
 		ID: "bench", FailureDomain: "domain-1", CallerAddress: "127.0.0.1:0", ServerAddress: "127.0.0.1:0",
-		OperAddress: "127.0.0.1:0", AddressTTL: time.Second, MaxBodyBytes: 1 << 20,
+		OperAddress: "127.0.0.1:0", AddressTTL: time.Second, MaxBodyBytes: 1 << 20, ConfirmWithin: 5 * time.Second,
 	}
 }
 
--- a/cmd/briaryard/serve.go
+++ b/cmd/briaryard/serve.go
@@ -18,7 +18,7 @@
 	if err := checkSettings(&c.Settings); err != nil {
 		return err
 	}
-	i := app.New(c.Settings, newLogger(c.LogLevel), devConfig)
+	i := app.New(c.Settings, newLogger(c.LogLevel), nil)
 	code, err := i.Run(context.Background(), func() {})
 	exitCode = code
 	return err
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -13,7 +13,6 @@
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/service/config"
-	"briaryard/internal/service/controlclient"
 	"briaryard/internal/service/dispatch"
 	"briaryard/internal/service/dispatcher"
 	"briaryard/internal/service/engineclient"
@@ -47,7 +46,8 @@
 	drains chan struct{}
 }
 
-// New constructs an instance with an initial configuration for a fleet of one.
+// New constructs an instance. With an initial configuration it is a fleet of one that keeps
+// the control state in memory; without one it is part of a fleet with a control group.
 func New(settings Settings, out *slog.Logger, initial []byte) *Instance {
 	i := &Instance{
 		settings: settings, log: event.New(out),
@@ -62,9 +62,7 @@
 		fx.Provide(
 			service(func() *peers.Service { return peers.New(model.InstanceID(settings.ID), i.incarnation) }),
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
-			service(func(initial []byte) *controlclient.Local {
-				return controlclient.NewLocal(model.InstanceID(settings.ID), i.incarnation, initial)
-			}),
+			service(i.newControlClient),
 			service(func(l *event.Log) *config.Service { return config.New(l, settings.place()) }), service(dispatch.New), service(dispatcher.New), service(entry.New),
 			service(transfer.New), service(func(l *event.Log) kernel.Service { return engineclient.New(l) }),
 			service(func() kernel.Service { return plainclient.New() }),
@@ -73,6 +71,7 @@
 			service(func(s *frontoperator.Service) kernel.Service { return s }),
 			service(func(s *lifecycle.Service) kernel.Service { return s }),
 		),
+		i.voter(),
 		fx.Populate(&i.callers, &i.announce, &i.operators, &i.lifecycle),
 		fx.Invoke(fx.Annotate(i.register, fx.ParamTags(``, `group:"services"`))),
 	)
--- /dev/null
+++ b/internal/app/control.go
@@ -0,0 +1,42 @@
+package app
+
+import (
+	"go.uber.org/fx"
+
+	"briaryard/internal/decide/state"
+	"briaryard/internal/event"
+	"briaryard/internal/kernel"
+	"briaryard/internal/model"
+	"briaryard/internal/service/control"
+	"briaryard/internal/service/controlclient"
+)
+
+// newControlClient returns the service that reaches the control group, or the one that
+// keeps the control state of a fleet of one.
+func (i *Instance) newControlClient(l *event.Log, initial []byte) kernel.Service {
+	if initial != nil {
+		return controlclient.NewLocal(model.InstanceID(i.settings.ID), i.incarnation, initial)
+	}
+	return controlclient.NewRemote(l, i.settings.voters(), i.settings.ConfirmWithin)
+}
+
+// voter provides the voter service on instances with a data folder.
+func (i *Instance) voter() fx.Option {
+	if i.settings.DataFolder == "" {
+		return fx.Options()
+	}
+	return fx.Provide(service(func(l *event.Log) *control.Service {
+		return control.New(control.Settings{
+			Self: model.InstanceID(i.settings.ID), Folder: i.settings.DataFolder,
+			Initial: i.settings.voters(), Limits: state.DefaultLimits(),
+		}, control.WireCodecs{}, control.NewSessions(), l)
+	}))
+}
+
+func (s *Settings) voters() []model.InstanceID {
+	out := make([]model.InstanceID, 0, len(s.Voters))
+	for _, v := range s.Voters {
+		out = append(out, model.InstanceID(v))
+	}
+	return out
+}
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -17,6 +17,9 @@
 	CallerAddress string        `help:"Address (host:port) where callers connect." env:"BRIARYARD_CALLER_ADDRESS" default:"127.0.0.1:8080"`
 	ServerAddress string        `help:"Address (host:port) where backend servers announce themselves." env:"BRIARYARD_SERVER_ADDRESS" default:"127.0.0.1:8081"`
 	OperAddress   string        `name:"operator-address" help:"Address (host:port) where operators connect." env:"BRIARYARD_OPERATOR_ADDRESS" default:"127.0.0.1:8082"`
+	DataFolder    string        `help:"Folder for the durable state of a voter; empty on instances without a disk. It must belong to this instance alone." env:"BRIARYARD_DATA_FOLDER"`
+	Voters        []string      `help:"Names of the instances that form the control group at its first start, 3 or 5 of them; later starts use them to find the group." env:"BRIARYARD_VOTERS"`
+	ConfirmWithin time.Duration `help:"How long this instance takes new work without having its configuration confirmed (2s to 60s)." env:"BRIARYARD_CONFIRM_WITHIN" default:"5s"`
 	AddressTTL    time.Duration `name:"address-ttl" help:"How long callers may keep the list of addresses (1s to 5m). A stop waits this long." env:"BRIARYARD_ADDRESS_TTL" default:"5s"`
 	MaxBodyBytes  int64         `help:"Largest request body in bytes (1024 to 67108864)." env:"BRIARYARD_MAX_BODY_BYTES" default:"1048576"`
 	LogLevel      string        `help:"Lowest level of log events: debug, info, warn or error." env:"BRIARYARD_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
@@ -27,6 +30,8 @@
 	maxAddressTTL = 5 * time.Minute
 	minBodyBytes  = 1024
 	maxBodyBytes  = 64 << 20
+	minConfirm    = 2 * time.Second
+	maxConfirm    = time.Minute
 )
 
 // Check returns every fault of the settings at once.
@@ -51,6 +56,7 @@
 	if s.AddressTTL < minAddressTTL || s.AddressTTL > maxAddressTTL {
 		bad("--address-ttl", "must be from 1s to 5m")
 	}
+	s.checkControl(bad)
 	if s.MaxBodyBytes < minBodyBytes || s.MaxBodyBytes > maxBodyBytes {
 		bad("--max-body-bytes", "must be from 1024 to 67108864")
 	}
@@ -69,3 +75,20 @@
 func (s *Settings) place() declare.Place {
 	return declare.Place{Instance: model.InstanceID(s.ID), Domain: model.FailureDomain(s.FailureDomain)}
 }
+
+// checkControl checks the settings of the control group. The dev command has none.
+func (s *Settings) checkControl(bad func(setting, reason string)) {
+	if s.ConfirmWithin < minConfirm || s.ConfirmWithin > maxConfirm {
+		bad("--confirm-within", "must be from 2s to 60s")
+	}
+	if s.DataFolder != "" && len(s.Voters) == 0 {
+		bad("--voters", "must name the voters when --data-folder is set")
+	}
+	seen := make(map[string]bool)
+	for _, v := range s.Voters {
+		if v == "" || seen[v] {
+			bad("--voters", "names must not be empty or repeated")
+		}
+		seen[v] = true
+	}
+}
--- /dev/null
+++ b/internal/service/control/sessions.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"time"
+
+	"briaryard/internal/decide/session"
+	"briaryard/internal/decide/state"
+	"briaryard/internal/declare"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+)
+
+// ownerDeadAfter is the silence after which the claims of an instance become unknown. It is
+// twice the time after which an instance that hears nothing from the control group withdraws.
+const ownerDeadAfter = 10 * time.Second
+
+// tracked answers heartbeats with the decisions of a session.Tracker.
+type tracked struct {
+	options session.Options
+	tracker *session.Tracker
+	// declared holds the lease names of the configuration with the given revision.
+	declared []string
+	revision model.Revision
+}
+
+// NewSessions returns the leader's handling of heartbeats.
+func NewSessions() Sessions {
+	return &tracked{options: session.Options{
+		LeaseDuration: port.LeaseDuration, DriftPercent: port.MaxClockDrift, DeadAfter: ownerDeadAfter,
+	}}
+}
+
+// Begin implements Sessions.
+func (t *tracked) Begin(now time.Time) { t.tracker = session.New(now, t.options) }
+
+// Heartbeat implements Sessions.
+func (t *tracked) Heartbeat(now time.Time, h port.Heartbeat, m *state.Machine, voters []model.InstanceID) (port.HeartbeatReply, bool) {
+	answer, ok := t.tracker.Handle(now, session.Heartbeat{
+		Instance: h.Instance, Incarnation: h.Incarnation, Revision: h.Revision, Holds: h.Holds, Stopping: h.Stopping,
+	}, t.state(m, voters))
+	if !ok {
+		return port.HeartbeatReply{}, false
+	}
+	reply := port.HeartbeatReply{
+		Seq: h.Seq, Config: answer.Config, Revision: answer.Revision, Leases: answer.Leases, Voters: answer.Voters,
+	}
+	for _, c := range answer.Confirmed {
+		reply.Confirmed = append(reply.Confirmed, port.Confirmation{Instance: c.Instance, Revision: c.Revision, Stopping: c.Stopping})
+	}
+	return reply, true
+}
+
+// Tick implements Sessions.
+func (t *tracked) Tick(now time.Time, m *state.Machine) []state.Command {
+	return t.tracker.Tick(now, t.state(m, nil))
+}
+
+func (t *tracked) state(m *state.Machine, voters []model.InstanceID) session.State {
+	config := m.Config()
+	if config.Revision != t.revision {
+		t.revision = config.Revision
+		t.declared = leaseNames(config)
+	}
+	return session.State{
+		Leases: m.Leases(), Config: config, Owners: m.Owners(), Voters: voters, Declared: t.declared,
+	}
+}
+
+// leaseNames returns the names of the dispatcher leases of a configuration's pools. The
+// content was checked before it was proposed; one that cannot be read declares no pool.
+func leaseNames(accepted state.AcceptedConfig) []string {
+	c, err := declare.Parse(accepted.Content)
+	if err != nil {
+		return nil
+	}
+	names := make([]string, 0, len(c.Pools))
+	for id := range c.Pools {
+		names = append(names, port.LeaseName(id))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/service/control/wire.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"briaryard/internal/decide/state"
+	"briaryard/internal/port"
+	"briaryard/internal/wire/controlwire"
+)
+
+// WireCodecs are the protobuf codecs of the control group.
+type WireCodecs struct{}
+
+// EncodeCommand implements Codecs.
+func (WireCodecs) EncodeCommand(c state.Command) ([]byte, error) { return controlwire.EncodeCommand(c) }
+
+// DecodeCommand implements Codecs.
+func (WireCodecs) DecodeCommand(data []byte) (state.Command, error) {
+	return controlwire.DecodeCommand(data)
+}
+
+// EncodeSnapshot implements Codecs.
+func (WireCodecs) EncodeSnapshot(m *state.Machine) ([]byte, error) {
+	return controlwire.EncodeSnapshot(m)
+}
+
+// DecodeSnapshot implements Codecs.
+func (WireCodecs) DecodeSnapshot(data []byte, limits state.Limits) (*state.Machine, error) {
+	return controlwire.DecodeSnapshot(data, limits)
+}
+
+// Messages implements Codecs.
+func (WireCodecs) Messages() port.Codec { return controlwire.Codec{} }
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -44,14 +44,15 @@
 
 // Remote reaches the control group through peers.
 type Remote struct {
-	log     *event.Log
-	voters  []model.InstanceID
-	within  time.Duration
-	ring    *ring.Ring[remoteMessage]
-	peers   port.Peers
-	leases  []func([]port.Lease)
-	configs []func(state.AcceptedConfig)
-	confirm []func(bool)
+	log      *event.Log
+	voters   []model.InstanceID
+	within   time.Duration
+	ring     *ring.Ring[remoteMessage]
+	peers    port.Peers
+	leases   []func([]port.Lease)
+	configs  []func(state.AcceptedConfig)
+	confirm  []func(bool)
+	statuses []func(port.ControlStatus)
 	// waiting and waitingBytes count the commands from Do to their answer.
 	waiting      atomic.Int64
 	waitingBytes atomic.Int64
@@ -205,6 +206,7 @@
 		reply := controlcall.HeartbeatReply{Seq: b.Seq, NotLeader: b.NotLeader, Leader: b.Leader, Answer: session.Answer{
 			Config: b.Config, Revision: b.Revision, Leases: b.Leases, Voters: b.Voters}}
 		r.perform(r.machine.Answered(now, m.From, reply))
+		r.publishStatus(m.From, b)
 	}
 }
 
--- /dev/null
+++ b/internal/service/controlclient/status.go
@@ -0,0 +1,23 @@
+package controlclient
+
+import (
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+)
+
+// SubscribeStatus implements port.ControlObserver.
+func (r *Remote) SubscribeStatus(sink func(port.ControlStatus)) {
+	r.statuses = append(r.statuses, sink)
+}
+
+// publishStatus passes on what the answer to a heartbeat says of the control group. The
+// leader is the sender, because only a leader answers heartbeats.
+func (r *Remote) publishStatus(leader model.InstanceID, b port.HeartbeatReply) {
+	if b.NotLeader {
+		return
+	}
+	status := port.ControlStatus{Leader: leader, Leases: b.Leases, Voters: b.Voters, Confirmed: b.Confirmed}
+	for _, sink := range r.statuses {
+		sink(status)
+	}
+}
--- a/internal/service/entry/service.go
+++ b/internal/service/entry/service.go
@@ -76,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if s.control, err = kernel.Resolve[port.ControlClient](r, port.ControlClientName); err != nil {
+		return err
+	}
 	config, err := kernel.Resolve[port.Config](r, port.ConfigName)
 	if err != nil {
 		return err
@@ -86,13 +89,14 @@
 	if s.transfer, err = kernel.Resolve[port.Transfer](r, port.TransferName); err != nil {
 		return err
 	}
-	if s.control, err = kernel.Resolve[port.ControlClient](r, port.ControlClientName); err != nil {
-		return err
-	}
 	s.self, s.incarnation = peers.Self()
 	s.machine = decide.New(s.self)
 	members.Subscribe(func(v *model.View) { s.put(viewed{v}) })
 	config.Subscribe(func(c *model.Config) { s.put(configured{c}) })
+	s.control.SubscribeConfirmed(func(ok bool) {
+		s.put(withdrawn{!ok})
+		members.SetSelf(model.Alive, !ok)
+	})
 	s.dispatch.Attach(func(e port.DispatchEvent) error { return s.ring.Offer(dispatched{e}) })
 	s.dispatch.AttachState(func(p model.PoolID) error { return s.ring.Offer(stateWanted{p}) })
 	s.transfer.Attach(func(e port.TransferEvent) error { return s.ring.Offer(transferred{e}) })
