Connect instances over TCP with numbered messages

The instance table had only local delivery. The peers service now keeps one yamux connection to each other instance. Messages carry an id per incarnation of the receiver and are sent again on a fresh connection until acknowledged; repeats are dropped. A relay for tests holds traffic back without closing connections.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -58,7 +58,7 @@
 		fx.Supply(i.log, &i.settings, initial),
 		fx.Provide(metric.NewSet, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
 		fx.Provide(
-			service(func() *peers.Service { return peers.New(model.InstanceID(settings.ID), i.incarnation) }),
+			service(func(l *event.Log) *peers.Service { return peers.New(l, settings.peers(i.incarnation)) }),
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(func(initial []byte) *controlclient.Local {
 				return controlclient.NewLocal(model.InstanceID(settings.ID), i.incarnation, initial)
--- a/internal/app/memory_test.go
+++ b/internal/app/memory_test.go
@@ -77,7 +77,7 @@
 	k := kernel.New(func(err error) { t.Error(err) })
 	front := &memoryFront{}
 	for _, s := range []kernel.Service{
-		peers.New("i1", 1), members.New(log, model.Instance{ID: "i1", Incarnation: 1}),
+		peers.New(log, peers.Options{Self: model.Instance{ID: "i1", Incarnation: 1}}), members.New(log, model.Instance{ID: "i1", Incarnation: 1}),
 		controlclient.NewLocal("i1", 1, []byte(testConfig)), config.New(log), dispatch.New(log), dispatcher.New(log),
 		entry.New(log, metric.NewSet()), transfer.New(),
 		&memoryBackend{name: port.EngineClientName}, &memoryBackend{name: port.PlainClientName}, front,
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -1,11 +1,13 @@
 package app
 
 import (
+	"cmp"
 	"net"
 	"time"
 
 	"briaryard/internal/fault"
 	"briaryard/internal/model"
+	"briaryard/internal/service/peers"
 )
 
 // Settings are the process settings of an instance. Each is a flag and an environment
@@ -16,6 +18,13 @@
 	CallerAddress string        `help:"Address (host:port) where callers connect." env:"BRIARYARD_CALLER_ADDRESS" default:"127.0.0.1:8080"`
 	ServerAddress string        `help:"Address (host:port) where backend servers announce themselves." env:"BRIARYARD_SERVER_ADDRESS" default:"127.0.0.1:8081"`
 	OperAddress   string        `name:"operator-address" help:"Address (host:port) where operators connect." env:"BRIARYARD_OPERATOR_ADDRESS" default:"127.0.0.1:8082"`
+	PeerAddress   string        `help:"Address (host:port) where other instances connect; empty for a fleet of one." env:"BRIARYARD_PEER_ADDRESS"`
+	Peers         []string      `help:"Addresses (host:port) of a few other instances." env:"BRIARYARD_PEERS"`
+	FleetToken    string        `help:"Token that the instances of the fleet share." env:"BRIARYARD_FLEET_TOKEN"`
+	AdvPeer       string        `name:"advertise-peer-address" help:"Peer address as others reach it, if it differs." env:"BRIARYARD_ADVERTISE_PEER_ADDRESS"`
+	AdvCaller     string        `name:"advertise-caller-address" help:"Caller address as callers reach it, if it differs." env:"BRIARYARD_ADVERTISE_CALLER_ADDRESS"`
+	AdvServer     string        `name:"advertise-server-address" help:"Server address as backend servers reach it, if it differs." env:"BRIARYARD_ADVERTISE_SERVER_ADDRESS"`
+	AdvOperator   string        `name:"advertise-operator-address" help:"Operator address as operators reach it, if it differs." env:"BRIARYARD_ADVERTISE_OPERATOR_ADDRESS"`
 	AddressTTL    time.Duration `name:"address-ttl" help:"How long callers may keep the list of addresses (1s to 5m). A stop waits this long." env:"BRIARYARD_ADDRESS_TTL" default:"5s"`
 	MaxBodyBytes  int64         `help:"Largest request body in bytes (1024 to 67108864)." env:"BRIARYARD_MAX_BODY_BYTES" default:"1048576"`
 	LogLevel      string        `help:"Lowest level of log events: debug, info, warn or error." env:"BRIARYARD_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
@@ -47,6 +56,7 @@
 			bad(name, "want host:port")
 		}
 	}
+	s.checkPeers(bad)
 	if s.AddressTTL < minAddressTTL || s.AddressTTL > maxAddressTTL {
 		bad("--address-ttl", "must be from 1s to 5m")
 	}
@@ -56,10 +66,37 @@
 	return faults
 }
 
+func (s *Settings) checkPeers(bad func(setting, reason string)) {
+	addresses := append([]string{s.PeerAddress, s.AdvPeer, s.AdvCaller, s.AdvServer, s.AdvOperator}, s.Peers...)
+	for _, address := range addresses {
+		if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
+			bad("address "+address, "want host:port")
+		}
+	}
+	if len(s.Peers) > 0 && s.PeerAddress == "" {
+		bad("--peer-address", "is needed with --peers")
+	}
+	host, _, err := net.SplitHostPort(s.PeerAddress)
+	if err == nil && s.FleetToken == "" && !isLoopback(host) {
+		bad("--fleet-token", "is needed unless the peer address is a loopback address")
+	}
+}
+
+func isLoopback(host string) bool {
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
 // instance returns this instance's own membership record.
 func (s *Settings) instance(incarnation model.Incarnation) model.Instance {
 	return model.Instance{
 		ID: model.InstanceID(s.ID), Incarnation: incarnation,
-		Domain: model.FailureDomain(s.FailureDomain), CallerAddress: s.CallerAddress,
+		Domain: model.FailureDomain(s.FailureDomain), PeerAddress: cmp.Or(s.AdvPeer, s.PeerAddress),
+		CallerAddress: cmp.Or(s.AdvCaller, s.CallerAddress), ServerAddress: cmp.Or(s.AdvServer, s.ServerAddress),
+		OperatorAddress: cmp.Or(s.AdvOperator, s.OperAddress),
 	}
 }
+
+func (s *Settings) peers(incarnation model.Incarnation) peers.Options {
+	return peers.Options{Self: s.instance(incarnation), Listen: s.PeerAddress, Peers: s.Peers, Token: s.FleetToken}
+}
--- a/internal/fault/peer.go
+++ b/internal/fault/peer.go
@@ -7,8 +7,14 @@
 	"briaryard/internal/model"
 )
 
-// CodePeerUnreachable names a failure of the connection to another instance.
-var CodePeerUnreachable = register("peer-unreachable", "Instance cannot be reached", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
+// Codes of failures between instances and of the membership.
+var (
+	CodePeerUnreachable = register("peer-unreachable", "Instance cannot be reached", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
+	CodePeerRefused     = register("peer-refused", "Instance refused the connection", http.StatusForbidden, model.NotRun, ExitUnavailable)
+	CodePeerProtocol    = register("peer-protocol", "Invalid data from an instance", http.StatusBadGateway, model.NotRun, ExitUnavailable)
+	CodeIncarnationGone = register("incarnation-gone", "Incarnation has been removed", http.StatusConflict, model.NotRun, ExitUnavailable)
+	CodeIncarnationUsed = register("incarnation-used", "A later run of this instance is known", http.StatusConflict, model.NotRun, ExitUnavailable)
+)
 
 // PeerUnreachable reports a message that cannot be sent to an instance.
 type PeerUnreachable struct{ Instance model.InstanceID }
@@ -18,3 +24,62 @@
 func (e *PeerUnreachable) Error() string {
 	return fmt.Sprintf("instance %q cannot be reached", e.Instance)
 }
+
+// RefusalReason states why an instance refused a connection.
+type RefusalReason string
+
+// Reasons for a refused connection.
+const (
+	RefusedToken       RefusalReason = "wrong fleet token"
+	RefusedVersion     RefusalReason = "unknown protocol version"
+	RefusedIncarnation RefusalReason = "incarnation is not the latest"
+	RefusedDuplicate   RefusalReason = "another connection is in use"
+	RefusedSelf        RefusalReason = "the id is this instance's own"
+)
+
+// PeerRefused reports a connection that an instance refused.
+type PeerRefused struct {
+	Address string
+	Reason  RefusalReason
+	// Known is the latest known incarnation, set with RefusedIncarnation.
+	Known model.Incarnation
+}
+
+// Code implements Fault.
+func (e *PeerRefused) Code() Code { return CodePeerRefused }
+func (e *PeerRefused) Error() string {
+	return fmt.Sprintf("connection with %s refused: %s", e.Address, e.Reason)
+}
+
+// PeerProtocol reports data from another instance that does not follow the protocol.
+type PeerProtocol struct{ Reason string }
+
+// Code implements Fault.
+func (e *PeerProtocol) Code() Code    { return CodePeerProtocol }
+func (e *PeerProtocol) Error() string { return "invalid data from an instance: " + e.Reason }
+
+// IncarnationGone reports a heartbeat of an incarnation that has been removed for good. The
+// backend server must announce itself with an incarnation above Known.
+type IncarnationGone struct {
+	Server model.BackendServerID
+	Known  model.Incarnation
+}
+
+// Code implements Fault.
+func (e *IncarnationGone) Code() Code { return CodeIncarnationGone }
+func (e *IncarnationGone) Error() string {
+	return fmt.Sprintf("incarnation %d of backend server %q has been removed; announce a higher one", e.Known, e.Server)
+}
+
+// IncarnationUsed reports that this process runs under the id of an instance with a later
+// incarnation.
+type IncarnationUsed struct {
+	Instance model.InstanceID
+	Known    model.Incarnation
+}
+
+// Code implements Fault.
+func (e *IncarnationUsed) Code() Code { return CodeIncarnationUsed }
+func (e *IncarnationUsed) Error() string {
+	return fmt.Sprintf("instance %q runs elsewhere with incarnation %d", e.Instance, e.Known)
+}
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -81,6 +81,10 @@
 	PeerAddress string
 	// CallerAddress is where callers connect.
 	CallerAddress string
+	// ServerAddress is where backend servers announce themselves.
+	ServerAddress string
+	// OperatorAddress is where operators connect.
+	OperatorAddress string
 	// Voter tells whether the instance has a data folder and takes part in the control group.
 	Voter bool
 	// Withdrawn means that the instance takes no new work for now although it is alive.
@@ -89,7 +93,10 @@
 
 // View is an immutable picture of the membership.
 type View struct {
-	Version   uint64
+	Version uint64
+	// Settled means that this instance has heard the whole membership from another one, or
+	// knows that it is alone. Before that, instances may be missing from the view.
+	Settled   bool
 	Instances []Instance
 	Servers   []BackendServer
 }
--- a/internal/port/members.go
+++ b/internal/port/members.go
@@ -10,10 +10,14 @@
 	Server model.BackendServer
 	Load   *model.LoadReport
 	Cache  []model.CacheEvent
+	// Reply, if set, receives the outcome: nil or a typed refusal.
+	Reply func(error)
 }
 
 // ServerReport is what a backend server told its home instance about its load and cache.
 type ServerReport struct {
+	// Pools are the pools that the server serves.
+	Pools []model.PoolID
 	Load  *model.LoadReport
 	Cache []model.CacheEvent
 }
--- a/internal/port/peers.go
+++ b/internal/port/peers.go
@@ -1,6 +1,10 @@
 package port
 
-import "briaryard/internal/model"
+import (
+	"time"
+
+	"briaryard/internal/model"
+)
 
 // PeersName is the name of the service that connects instances.
 const PeersName = "peers"
@@ -19,6 +23,30 @@
 	Body        any
 }
 
+// PeerState states what is known of the connection to an instance.
+type PeerState uint8
+
+// States of a connection.
+const (
+	// PeerUp means that a connection was opened.
+	PeerUp PeerState = iota
+	// PeerSilent means that nothing has arrived for a while on an open connection.
+	PeerSilent
+	// PeerHeard means that a connection that was silent carries data again.
+	PeerHeard
+	// PeerDown means that there is no connection.
+	PeerDown
+)
+
+// PeerStatus reports a change of the connection to an instance.
+type PeerStatus struct {
+	// Instance is the other instance as it described itself; its sequence is zero.
+	Instance model.Instance
+	State    PeerState
+	// LastHeard is when data last arrived from the instance.
+	LastHeard time.Time
+}
+
 // Peers sends messages between instances. Messages to one instance arrive in order and at
 // most once; after a broken connection they are resent until the receiver acknowledges
 // them, its incarnation changes, or the message limit is reached.
@@ -30,4 +58,12 @@
 	Handle(service string, codec Codec, sink func(PeerMessage) error)
 	// Send queues a message. A message to this instance is delivered without encoding.
 	Send(to model.InstanceID, service string, body any) error
+	// SetInstances states which instances to keep a connection to. It replaces the list
+	// that was set before and never blocks.
+	SetInstances(list []model.Instance)
+	// SubscribeStatus registers a receiver of connection changes. It is called during
+	// Provision. The sink does not block; it returns ring.FullError when there is no room.
+	SubscribeStatus(sink func(PeerStatus) error)
+	// Alone reports whether no other instance was named in the settings.
+	Alone() bool
 }
--- /dev/null
+++ b/internal/service/peers/handshake.go
@@ -0,0 +1,167 @@
+package peers
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"briaryard/internal/event"
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+	"briaryard/internal/wire/peerpb"
+)
+
+const protocolVersion = 1
+
+// hello describes this instance.
+func (s *Service) hello() *peerpb.Hello {
+	i := s.options.Self
+	return &peerpb.Hello{
+		Version: protocolVersion, Token: s.options.Token, Instance: string(i.ID), Incarnation: s.incarnation.Load(),
+		FailureDomain: string(i.Domain), PeerAddress: i.PeerAddress, CallerAddress: i.CallerAddress,
+		ServerAddress: i.ServerAddress, OperatorAddress: i.OperatorAddress, Voter: i.Voter,
+	}
+}
+
+// check examines the hello of another instance.
+func (s *Service) check(h *peerpb.Hello) (model.Instance, fault.RefusalReason) {
+	want, got := sha256.Sum256([]byte(s.options.Token)), sha256.Sum256([]byte(h.GetToken()))
+	switch {
+	case subtle.ConstantTimeCompare(want[:], got[:]) != 1:
+		return model.Instance{}, fault.RefusedToken
+	case h.GetVersion() != protocolVersion:
+		return model.Instance{}, fault.RefusedVersion
+	}
+	i := model.Instance{
+		ID: model.InstanceID(h.GetInstance()), Incarnation: model.Incarnation(h.GetIncarnation()),
+		Domain: model.FailureDomain(h.GetFailureDomain()), PeerAddress: h.GetPeerAddress(), CallerAddress: h.GetCallerAddress(),
+		ServerAddress: h.GetServerAddress(), OperatorAddress: h.GetOperatorAddress(), Voter: h.GetVoter(),
+	}
+	return i, ""
+}
+
+// dial connects to an address and performs the handshake. Without a link it only learns
+// who answers there.
+func (s *Service) dial(ctx context.Context, address string, link, abandoned uint64) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	var dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	} = &net.Dialer{}
+	if s.options.ClientTLS != nil {
+		dialer = &tls.Dialer{Config: s.options.ClientTLS}
+	}
+	transport, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c, err := openConn(transport)
+	if err != nil {
+		_ = transport.Close()
+		return nil, err
+	}
+	if err := s.greet(c, address, link, abandoned); err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// greet sends this instance's hello and reads the answer.
+func (s *Service) greet(c *conn, address string, link, abandoned uint64) error {
+	h := s.hello()
+	h.Connection, h.Link, h.Abandoned = rand.Uint64()|1, link, abandoned
+	c.id = h.Connection
+	if err := c.writeFrame(&peerpb.Frame{Hello: h}); err != nil {
+		return err
+	}
+	f, err := c.readGreeting()
+	if err != nil {
+		return err
+	}
+	if r := f.GetRefusal(); r != nil {
+		return &fault.PeerRefused{
+			Address: address, Reason: fault.RefusalReason(r.GetReason()), Known: model.Incarnation(r.GetKnownIncarnation()),
+		}
+	}
+	remote, reason := s.check(f.GetHello())
+	switch {
+	case reason != "":
+		return &fault.PeerRefused{Address: address, Reason: reason}
+	case remote.ID == "":
+		return &fault.PeerProtocol{Reason: "hello without an id"}
+	}
+	c.remote, c.remoteLink = remote, f.GetHello().GetLink()
+	return nil
+}
+
+// accept performs the handshake on a transport that another instance has dialed. The
+// "peers" duty decides whether the connection is used.
+func (s *Service) accept(ctx context.Context, transport net.Conn) {
+	c, err := acceptConn(transport)
+	if err != nil {
+		_ = transport.Close()
+		return
+	}
+	f, err := c.readGreeting()
+	if err != nil {
+		c.close()
+		return
+	}
+	h := f.GetHello()
+	remote, reason := s.check(h)
+	if reason == "" && remote.ID == "" {
+		c.close()
+		return
+	}
+	if reason != "" {
+		s.refuse(c, reason, 0)
+		return
+	}
+	c.remote, c.id, c.remoteLink, c.abandoned = remote, h.GetConnection(), h.GetLink(), h.GetAbandoned()
+	if s.ring.Put(ctx, arrived{conn: c}) != nil {
+		c.close()
+	}
+}
+
+// refuse tells the other side why and closes the connection once it has read the refusal.
+func (s *Service) refuse(c *conn, reason fault.RefusalReason, known model.Incarnation) {
+	if reason != fault.RefusedDuplicate {
+		s.log.Emit(event.PeerRefused, c.session.RemoteAddr().String(), string(reason))
+	}
+	_ = c.writeFrame(&peerpb.Frame{Refusal: &peerpb.Refusal{Reason: string(reason), KnownIncarnation: uint64(known)}})
+	time.AfterFunc(handshakeTimeout, c.close)
+}
+
+// probe asks the initial peers whether they know a higher incarnation of this instance, and
+// takes one above it. It runs before any service uses the incarnation.
+func (s *Service) probe() {
+	replies := make(chan model.Incarnation, len(s.options.Peers))
+	for _, address := range s.options.Peers {
+		go func() {
+			c, err := s.dial(context.Background(), address, 0, 0)
+			var known model.Incarnation
+			if refused, ok := err.(*fault.PeerRefused); ok && refused.Reason == fault.RefusedIncarnation {
+				known = refused.Known
+			}
+			if c != nil {
+				c.close()
+			}
+			replies <- known
+		}()
+	}
+	highest := s.incarnation.Load()
+	for range s.options.Peers {
+		if known := uint64(<-replies); known >= highest {
+			highest = known + 1
+		}
+	}
+	if highest > s.incarnation.Load() {
+		s.incarnation.Store(highest)
+		s.log.Emit(event.IncarnationRaised, s.options.Self.ID, highest)
+	}
+}
--- /dev/null
+++ b/internal/service/peers/peers_test.go
@@ -0,0 +1,237 @@
+package peers_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"briaryard/internal/event"
+	"briaryard/internal/fault"
+	"briaryard/internal/kernel"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/service/peers"
+	"briaryard/internal/standin/relay"
+)
+
+// numbers encodes messages that are integers.
+type numbers struct{}
+
+func (numbers) Encode(body any) ([]byte, error) {
+	return binary.AppendUvarint(nil, uint64(body.(int))), nil
+}
+
+func (numbers) Decode(data []byte) (any, error) {
+	v, _ := binary.Uvarint(data)
+	return int(v), nil
+}
+
+// node is one instance's peers service with a receiver of numbers.
+type node struct {
+	service *peers.Service
+	kernel  *kernel.Kernel
+	log     *event.Log
+
+	mu       sync.Mutex
+	got      []int
+	statuses []port.PeerStatus
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func startNode(t *testing.T, id string, incarnation model.Incarnation, token string, l net.Listener, advertise string, seeds ...string) *node {
+	t.Helper()
+	n := &node{log: event.New(slog.New(slog.DiscardHandler))}
+	n.service = peers.New(n.log, peers.Options{
+		Self:     model.Instance{ID: model.InstanceID(id), Incarnation: incarnation, PeerAddress: advertise},
+		Listener: l, Peers: seeds, Token: token,
+	})
+	n.service.Handle("numbers", numbers{}, func(m port.PeerMessage) error {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.got = append(n.got, m.Body.(int))
+		return nil
+	})
+	n.service.SubscribeStatus(func(s port.PeerStatus) error {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.statuses = append(n.statuses, s)
+		return nil
+	})
+	n.kernel = kernel.New(func(err error) { t.Error(err) })
+	if err := n.kernel.Register(n.service); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.kernel.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) stop() { _ = n.kernel.Stop(context.Background()) }
+
+func (n *node) count(state port.PeerState) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := 0
+	for _, s := range n.statuses {
+		if s.State == state {
+			c++
+		}
+	}
+	return c
+}
+
+func (n *node) received() []int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]int(nil), n.got...)
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	limit := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(limit) {
+			t.Fatalf("did not happen: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// sendAll sends the numbers of a range and waits while the ring is full.
+func (n *node) sendAll(t *testing.T, to model.InstanceID, from, until int) {
+	t.Helper()
+	for i := from; i < until; i++ {
+		eventually(t, "room to send", func() bool { return n.service.Send(to, "numbers", i) == nil })
+	}
+}
+
+func wantSequence(t *testing.T, n *node, until int) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%d messages", until), func() bool { return len(n.received()) >= until })
+	for i, v := range n.received() {
+		if v != i {
+			t.Fatalf("message %d is %d: lost, repeated or out of order", i, v)
+		}
+	}
+}
+
+// Guards against lost, repeated or reordered messages when both sides dial at once, when
+// connections are reset, and when they go silent in one or both directions.
+func TestMessagesArriveOnceInOrder(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	toB, err := relay.New(lb.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer toB.Close()
+	toA, err := relay.New(la.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer toA.Close()
+	a := startNode(t, "a", 1, "secret", la, toA.Address(), toB.Address())
+	b := startNode(t, "b", 1, "secret", lb, toB.Address(), toA.Address())
+	eventually(t, "connection", func() bool { return a.count(port.PeerUp) > 0 && b.count(port.PeerUp) > 0 })
+	disturb := []func(){
+		func() { toA.Reset(); toB.Reset() },
+		func() { toA.Freeze(relay.ToTarget); toB.Freeze(relay.ToTarget) },
+		func() { toA.Freeze(relay.FromTarget); toB.Freeze(relay.FromTarget) },
+		func() { toA.Freeze(relay.Both); toB.Freeze(relay.Both) },
+	}
+	const step = 300
+	for i, d := range disturb {
+		var both sync.WaitGroup
+		for _, pair := range []struct {
+			from *node
+			to   model.InstanceID
+		}{{a, "b"}, {b, "a"}} {
+			both.Go(func() { pair.from.sendAll(t, pair.to, i*step, (i+1)*step) })
+		}
+		d()
+		both.Wait()
+		wantSequence(t, a, (i+1)*step)
+		wantSequence(t, b, (i+1)*step)
+	}
+}
+
+// Guards against two instances that keep replacing each other's connection.
+func TestSimultaneousConnectionsSettle(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	a := startNode(t, "a", 1, "secret", la, "", lb.Addr().String())
+	b := startNode(t, "b", 1, "secret", lb, "", la.Addr().String())
+	eventually(t, "connection", func() bool { return a.count(port.PeerUp) > 0 && b.count(port.PeerUp) > 0 })
+	time.Sleep(3 * time.Second)
+	if ups := a.count(port.PeerUp); ups > 3 {
+		t.Fatalf("the connection was replaced %d times", ups)
+	}
+	a.sendAll(t, "b", 0, 10)
+	wantSequence(t, b, 10)
+}
+
+// Guards against messages that reach a later incarnation than they were meant for, and
+// against a numbering that does not start again after a restart.
+func TestRestartedPeerStartsAnew(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	address := lb.Addr().String()
+	a := startNode(t, "a", 1, "secret", la, "")
+	b := startNode(t, "b", 1, "secret", lb, "", la.Addr().String())
+	eventually(t, "connection", func() bool { return a.count(port.PeerUp) > 0 })
+	a.sendAll(t, "b", 0, 5)
+	wantSequence(t, b, 5)
+	b.stop()
+	eventually(t, "loss", func() bool { return a.count(port.PeerDown) > 0 })
+	a.sendAll(t, "b", 100, 110)
+	l2, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b2 := startNode(t, "b", 2, "secret", l2, "", la.Addr().String())
+	eventually(t, "connection", func() bool { return a.count(port.PeerUp) > 1 })
+	a.sendAll(t, "b", 0, 5)
+	wantSequence(t, b2, 5)
+}
+
+// Guards against an instance of another fleet.
+func TestWrongTokenIsRefused(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	a := startNode(t, "a", 1, "secret", la, "")
+	b := startNode(t, "b", 1, "other", lb, "", la.Addr().String())
+	refusal := func(r event.Record) bool {
+		return r.Event == event.PeerRefused.Name && r.Fields["reason"] == string(fault.RefusedToken)
+	}
+	eventually(t, "refusal on both sides", func() bool {
+		return len(a.log.Recent(refusal)) > 0 && len(b.log.Recent(refusal)) > 0
+	})
+	if a.count(port.PeerUp)+b.count(port.PeerUp) > 0 {
+		t.Fatal("a connection with a wrong token was used")
+	}
+}
+
+// Guards against a process whose clock went back and that takes an incarnation which the
+// fleet considers old.
+func TestLowIncarnationIsRaised(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	a := startNode(t, "a", 1, "secret", la, "")
+	old := startNode(t, "b", 50, "secret", lb, "", la.Addr().String())
+	eventually(t, "connection", func() bool { return a.count(port.PeerUp) > 0 })
+	old.stop()
+	again := startNode(t, "b", 7, "secret", listen(t), "", la.Addr().String())
+	if _, incarnation := again.service.Self(); incarnation <= 50 {
+		t.Fatalf("incarnation is %d, want more than 50", incarnation)
+	}
+}
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -2,23 +2,76 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
+	"sync/atomic"
+	"time"
 
+	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/kernel"
 	"briaryard/internal/model"
 	"briaryard/internal/port"
+	"briaryard/internal/ring"
+	"briaryard/internal/wire/peerpb"
 )
 
-// Service delivers messages between the services of this instance.
+const (
+	ringCapacity = 1024
+	// maxHandshakes bounds the connections that have not shown the fleet token yet.
+	maxHandshakes = 64
+)
+
+// Options are the settings of the service.
+type Options struct {
+	// Self is this instance's record with the addresses that others are to use.
+	Self model.Instance
+	// Listen is where this instance accepts connections; empty for none.
+	Listen string
+	// Listener, if set, is used instead of Listen.
+	Listener net.Listener
+	// Peers are the addresses of a few other instances.
+	Peers []string
+	// Token is shared by the fleet.
+	Token string
+	// ServerTLS and ClientTLS protect the connections; nil for plain connections.
+	ServerTLS *tls.Config
+	ClientTLS *tls.Config
+}
+
+type handler struct {
+	codec port.Codec
+	sink  func(port.PeerMessage) error
+}
+
+// Service connects this instance to the others.
 type Service struct {
-	self        model.InstanceID
-	incarnation model.Incarnation
-	sinks       map[string]func(port.PeerMessage) error
+	options     Options
+	log         *event.Log
+	host        *kernel.Host
+	ring        *ring.Ring[message]
+	listener    net.Listener
+	incarnation atomic.Uint64
+	// known is the highest incarnation of this instance that others have seen.
+	known atomic.Uint64
+	// handlers does not change after Provision.
+	handlers map[string]handler
+	// statuses belongs to the "peers" duty once it runs.
+	statuses outboxes
+	// links is replaced as a whole by the "peers" duty.
+	links atomic.Pointer[map[model.InstanceID]*link]
 }
 
 // New returns the service.
-func New(self model.InstanceID, incarnation model.Incarnation) *Service {
-	return &Service{self: self, incarnation: incarnation, sinks: make(map[string]func(port.PeerMessage) error)}
+func New(log *event.Log, o Options) *Service {
+	s := &Service{
+		options: o, log: log,
+		ring:     ring.New[message]("peers", ringCapacity, ring.Block),
+		handlers: make(map[string]handler),
+	}
+	s.incarnation.Store(uint64(o.Self.Incarnation))
+	s.links.Store(&map[model.InstanceID]*link{})
+	return s
 }
 
 // Name implements kernel.Service.
@@ -27,28 +80,177 @@
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string { return nil }
 
-// Provision implements kernel.Service.
-func (s *Service) Provision(kernel.Resolver) error { return nil }
+// Provision implements kernel.Service. Services that need this one are provisioned later
+// and see the final incarnation.
+func (s *Service) Provision(kernel.Resolver) error {
+	s.probe()
+	return nil
+}
 
 // Start implements kernel.Service.
-func (s *Service) Start(*kernel.Host) error { return nil }
+func (s *Service) Start(h *kernel.Host) error {
+	s.host = h
+	t := &table{
+		service: s, peers: make(map[model.InstanceID]*peer),
+		attempts: make(map[string]*attempt), seeds: make(map[string]model.InstanceID),
+	}
+	for _, address := range s.options.Peers {
+		t.seeds[address] = ""
+	}
+	if err := s.listen(); err != nil {
+		return err
+	}
+	h.Go("peers", t.run, s.ring)
+	return nil
+}
+
+func (s *Service) listen() error {
+	l := s.options.Listener
+	if l == nil && s.options.Listen != "" {
+		var err error
+		if l, err = net.Listen("tcp", s.options.Listen); err != nil {
+			return &fault.ListenFailed{Address: s.options.Listen, Err: err}
+		}
+	}
+	if l == nil {
+		return nil
+	}
+	if s.options.ServerTLS != nil {
+		l = tls.NewListener(l, s.options.ServerTLS)
+	}
+	s.listener = l
+	if s.options.Self.PeerAddress == "" {
+		s.options.Self.PeerAddress = l.Addr().String()
+	}
+	s.log.Emit(event.ListenerOpened, s.Name(), l.Addr().String(), s.options.ServerTLS != nil)
+	s.host.Go("peer-accept", s.acceptAll)
+	return nil
+}
+
+// acceptAll accepts connections; each handshake runs on its own, at most maxHandshakes at once.
+func (s *Service) acceptAll(ctx context.Context, _ *kernel.Duty) {
+	slots := make(chan struct{}, maxHandshakes)
+	for {
+		transport, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			_ = transport.Close()
+			return
+		}
+		s.host.Go("peer-handshake", func(ctx context.Context, _ *kernel.Duty) {
+			defer func() { <-slots }()
+			s.accept(ctx, transport)
+		})
+	}
+}
 
 // Stop implements kernel.Service.
-func (s *Service) Stop(context.Context) error { return nil }
+func (s *Service) Stop(context.Context) error {
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	s.ring.Close()
+	return nil
+}
+
+// Address returns the address that the listener has, or nothing without one.
+func (s *Service) Address() string { return s.options.Self.PeerAddress }
 
 // Self implements port.Peers.
-func (s *Service) Self() (model.InstanceID, model.Incarnation) { return s.self, s.incarnation }
+func (s *Service) Self() (model.InstanceID, model.Incarnation) {
+	return s.options.Self.ID, model.Incarnation(s.incarnation.Load())
+}
+
+// Alone implements port.Peers.
+func (s *Service) Alone() bool { return len(s.options.Peers) == 0 }
 
 // Handle implements port.Peers.
-func (s *Service) Handle(service string, _ port.Codec, sink func(port.PeerMessage) error) {
-	s.sinks[service] = sink
+func (s *Service) Handle(service string, codec port.Codec, sink func(port.PeerMessage) error) {
+	s.handlers[service] = handler{codec, sink}
 }
 
+// SubscribeStatus implements port.Peers.
+func (s *Service) SubscribeStatus(sink func(port.PeerStatus) error) {
+	s.statuses = append(s.statuses, ring.NewOutbox(sink))
+}
+
+// SetInstances implements port.Peers.
+func (s *Service) SetInstances(list []model.Instance) { _ = s.ring.Offer(instances{list}) }
+
 // Send implements port.Peers.
 func (s *Service) Send(to model.InstanceID, service string, body any) error {
-	sink, ok := s.sinks[service]
-	if to != s.self || !ok {
+	h, ok := s.handlers[service]
+	self, incarnation := s.Self()
+	if to == self && ok {
+		return h.sink(port.PeerMessage{From: self, Incarnation: incarnation, Body: body})
+	}
+	l := (*s.links.Load())[to]
+	if l == nil || !ok || h.codec == nil {
 		return &fault.PeerUnreachable{Instance: to}
 	}
-	return sink(port.PeerMessage{From: s.self, Incarnation: s.incarnation, Body: body})
+	data, err := h.codec.Encode(body)
+	if err != nil {
+		return err
+	}
+	if len(data) > maxBody {
+		return &fault.PeerProtocol{Reason: "message too large"}
+	}
+	return l.out.Offer(outgoing{service: service, body: data, incarnation: model.Incarnation(l.incarnation.Load())})
+}
+
+// Health implements kernel.HealthReporter.
+func (s *Service) Health() error {
+	if known := s.known.Load(); known > s.incarnation.Load() {
+		return &fault.IncarnationUsed{Instance: s.options.Self.ID, Known: model.Incarnation(known)}
+	}
+	return nil
+}
+
+// superseded records that a later run of this instance is known.
+func (s *Service) superseded(known model.Incarnation) {
+	if s.known.Swap(uint64(known)) != uint64(known) {
+		s.log.Emit(event.IncarnationUsed, s.options.Self.ID, known)
+	}
+}
+
+// greeting returns the frame that answers another instance's hello.
+func (s *Service) greeting(link uint64) ([]byte, error) {
+	h := s.hello()
+	h.Link = link
+	return appendFrame(nil, &peerpb.Frame{Hello: h})
+}
+
+// introduce answers an instance that only asks who answers here.
+func (s *Service) introduce(c *conn) {
+	if data, err := s.greeting(0); err == nil {
+		_ = c.write(data)
+	}
+	time.AfterFunc(handshakeTimeout, c.close)
+}
+
+// post gives a message to the "peers" duty; it waits while the ring is full.
+func (s *Service) post(m message) { _ = s.ring.Put(context.Background(), m) }
+
+// outboxes carries connection changes to their receivers.
+type outboxes []*ring.Outbox[port.PeerStatus]
+
+func (o outboxes) send(st port.PeerStatus) {
+	for _, b := range o {
+		b.Send(st)
+	}
+}
+
+func (o outboxes) flush() {
+	for _, b := range o {
+		b.Flush()
+	}
+}
+
+func isFull(err error) bool {
+	_, full := err.(*ring.FullError)
+	return full
 }
