--- /dev/null
+++ b/internal/decide/member/liveness.go
@@ -0,0 +1,179 @@
+package member
+
+import (
+	"time"
+
+	"briaryard/internal/model"
+)
+
+// PeerUp reports an open connection to an instance.
+func (m *Machine) PeerUp(now time.Time, r model.Instance) {
+	m.mergeInstance(now, r)
+	i := m.instances[r.ID]
+	if i == nil || r.Incarnation < i.record.Incarnation {
+		return
+	}
+	i.up, i.silent, i.heard = true, false, now
+	m.judge(i, model.Alive, "connected")
+	if !m.settled {
+		m.sends = append(m.sends, Send{To: r.ID, Body: Want{Whole: true}})
+	}
+	m.sends = append(m.sends, Send{To: r.ID, Body: Records{Instances: []model.Instance{m.self}}})
+}
+
+// PeerHeard reports that a silent connection carries data again.
+func (m *Machine) PeerHeard(now time.Time, id model.InstanceID) {
+	if i := m.instances[id]; i != nil {
+		i.silent, i.heard = false, now
+		m.judge(i, model.Alive, "heard again")
+	}
+}
+
+// PeerSilent reports that nothing arrives on an open connection; PeerDown that there is no
+// connection. Heard is when data last arrived.
+func (m *Machine) PeerSilent(now time.Time, id model.InstanceID, heard time.Time, down bool) {
+	i := m.instances[id]
+	if i == nil {
+		return
+	}
+	i.silent, i.heard = true, heard
+	if down {
+		i.up = false
+	}
+	m.detectCutOff(now)
+}
+
+// detectCutOff holds expiry back when more than half of the peers went silent at once: the
+// fault is then more likely on this side. With a single peer nothing can be told.
+func (m *Machine) detectCutOff(now time.Time) {
+	total, silent := 0, 0
+	for _, i := range m.instances {
+		if i.judged == model.Gone {
+			continue
+		}
+		total++
+		if i.silent {
+			silent++
+		}
+	}
+	cutOff := total > 1 && 2*silent > total
+	if cutOff && !m.cutOff {
+		m.hold(now, "more than half of the instances went silent")
+	}
+	m.cutOff = cutOff
+}
+
+func (m *Machine) hold(now time.Time, reason string) {
+	m.holdUntil = now.Add(HoldFor)
+	m.held = append(m.held, reason)
+}
+
+// Tick applies the limits of silence and starts the exchange of digests.
+func (m *Machine) Tick(now time.Time) {
+	if now.Sub(m.lastTick) > PauseGap {
+		m.hold(now, "this instance was paused")
+	}
+	m.lastTick = now
+	if !m.settled && now.Sub(m.began) >= SettleAfter {
+		m.settled, m.changed = true, true
+	}
+	m.forget(now)
+	if now.Before(m.holdUntil) {
+		return
+	}
+	for _, i := range m.instances {
+		m.expireInstance(now, i)
+	}
+	for _, s := range m.servers {
+		m.expireServer(now, s)
+	}
+	m.detectCutOff(now)
+	m.sendDigest(now)
+}
+
+func (m *Machine) expireInstance(now time.Time, i *instance) {
+	if i.up && !i.silent || i.judged == model.Gone {
+		return
+	}
+	switch silence := now.Sub(i.heard); {
+	case silence >= GoneAfter:
+		i.goneAt = now
+		m.judge(i, model.Gone, "no connection")
+	case silence >= SuspectAfter:
+		m.judge(i, model.Suspect, "silent")
+	}
+}
+
+func (m *Machine) expireServer(now time.Time, s *server) {
+	if s.record.State == model.Gone {
+		return
+	}
+	if s.record.Home == m.self.ID {
+		m.expireOwn(now, s)
+		return
+	}
+	home := m.instances[s.record.Home]
+	switch gone := home == nil || home.judged == model.Gone; {
+	case !gone && !s.orphaned.IsZero():
+		s.orphaned, s.lost = time.Time{}, false
+		m.changed = true
+	case gone && s.orphaned.IsZero():
+		s.orphaned = now
+		m.changed = true
+	case gone && !s.lost && now.Sub(s.orphaned) >= GoneAfter:
+		// Only this observer may be cut off from the home, so the record stays as it is.
+		s.lost = true
+		m.changed = true
+		m.changes = append(m.changes, Change{
+			Server: s.record.ID, Incarnation: s.record.Incarnation, State: model.Gone,
+			Reason: "its home is gone and no other instance adopted it",
+		})
+	}
+}
+
+// expireOwn judges a backend server whose home is this instance.
+func (m *Machine) expireOwn(now time.Time, s *server) {
+	r := s.record
+	switch silence := now.Sub(s.heard); {
+	case silence >= GoneAfter:
+		r.State = model.Gone
+	case silence >= SuspectAfter && r.State == model.Alive:
+		r.State = model.Suspect
+	default:
+		return
+	}
+	r.Sequence++
+	m.setServer(now, s, r, "no heartbeat")
+	m.flood.Servers = append(m.flood.Servers, r)
+}
+
+// forget drops members that have been gone for long.
+func (m *Machine) forget(now time.Time) {
+	for id, i := range m.instances {
+		if i.judged == model.Gone && now.Sub(i.goneAt) >= Remember {
+			delete(m.instances, id)
+			m.changed = true
+		}
+	}
+	for id, s := range m.servers {
+		if s.record.State == model.Gone && now.Sub(s.goneAt) >= Remember || s.lost && now.Sub(s.orphaned) >= Remember {
+			delete(m.servers, id)
+			m.changed = true
+		}
+	}
+}
+
+func (m *Machine) judge(i *instance, state model.MemberState, reason string) {
+	if i.judged == state {
+		return
+	}
+	i.judged = state
+	m.changed = true
+	m.log(i, reason)
+}
+
+func (m *Machine) log(i *instance, reason string) {
+	m.changes = append(m.changes, Change{
+		Instance: i.record.ID, Incarnation: i.record.Incarnation, State: i.judged, Reason: reason,
+	})
+}
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -9,6 +9,7 @@
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/ring"
+	"briaryard/internal/wire/dispatchwire"
 )
 
 const (
@@ -87,7 +88,7 @@
 		return err
 	}
 	control.SubscribeLeases(func(l []port.Lease) { s.put(leases{l}) })
-	s.peers.Handle(port.DispatchName, nil, func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
+	s.peers.Handle(port.DispatchName, dispatchwire.New(), func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
 	return nil
 }
 
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -10,6 +10,7 @@
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/ring"
+	"briaryard/internal/wire/dispatchwire"
 )
 
 const (
@@ -95,7 +96,7 @@
 	control.SubscribeLeases(func(l []port.Lease) { s.offer(leases{l}) })
 	members.Subscribe(func(v *model.View) { s.offer(viewed{v}) })
 	config.Subscribe(func(c *model.Config) { s.offer(configured{c}) })
-	s.peers.Handle(port.DispatcherName, nil, func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
+	s.peers.Handle(port.DispatcherName, dispatchwire.New(), func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
 	return nil
 }
 
