Run the membership between instances

Each instance knew only itself and the backend servers announced to it. The members service now runs the membership machine: changes are flooded, digests repair losses, and instances are judged by their connections. A backend server with a removed incarnation gets a typed refusal. The dispatcher waits for a settled view, asks again for states that were lost and asks instances that return. Load reports go to the holders of the server's pools only.

go test ./internal/app ./internal/wire/... ./internal/service/...: ok.

--- a/internal/decide/member/machine_test.go
+++ b/internal/decide/member/machine_test.go
@@ -73,7 +73,9 @@
 }
 
 // fleet runs machines with a network that loses messages until it is healed.
-type fleet struct{ machines map[model.InstanceID]*member.Machine }
+type fleet struct {
+	machines map[model.InstanceID]*member.Machine
+}
 
 func (f *fleet) deliver(now time.Time, lose func() bool) {
 	for {
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -33,14 +33,17 @@
 
 type leases struct{ leases []port.Lease }
 
+type serverReport struct{ report port.ServerReport }
+
 type received struct{ from port.PeerMessage }
 
-func (register) message() {}
-func (withdraw) message() {}
-func (report) message()   {}
-func (resync) message()   {}
-func (leases) message()   {}
-func (received) message() {}
+func (register) message()     {}
+func (withdraw) message()     {}
+func (report) message()       {}
+func (resync) message()       {}
+func (leases) message()       {}
+func (received) message()     {}
+func (serverReport) message() {}
 
 // route is what the router knows of a pool's dispatcher.
 type route struct {
@@ -75,7 +78,9 @@
 func (s *Service) Name() string { return port.DispatchName }
 
 // Needs implements kernel.Service.
-func (s *Service) Needs() []string { return []string{port.PeersName, port.ControlClientName} }
+func (s *Service) Needs() []string {
+	return []string{port.PeersName, port.MembersName, port.ControlClientName}
+}
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
@@ -83,6 +88,12 @@
 	if s.peers, err = kernel.Resolve[port.Peers](r, port.PeersName); err != nil {
 		return err
 	}
+	members, err := kernel.Resolve[port.Members](r, port.MembersName)
+	if err != nil {
+		return err
+	}
+	// A load report that finds no room is dropped: the next one replaces it.
+	members.SubscribeReports(func(report port.ServerReport) { _ = s.ring.Offer(serverReport{report}) })
 	control, err := kernel.Resolve[port.ControlClient](r, port.ControlClientName)
 	if err != nil {
 		return err
@@ -142,6 +153,8 @@
 		s.setLeases(m.leases)
 	case received:
 		s.received(m.from)
+	case serverReport:
+		s.sendReport(m.report)
 	}
 }
 
@@ -168,6 +181,18 @@
 	}
 }
 
+// sendReport passes a backend server's report to the dispatchers of its pools, once to
+// each instance.
+func (s *Service) sendReport(r port.ServerReport) {
+	sent := make(map[model.InstanceID]bool)
+	for _, pool := range r.Pools {
+		if to := s.routes[pool]; to != nil && to.holder != "" && !sent[to.holder] {
+			sent[to.holder] = true
+			_ = s.peers.Send(to.holder, port.DispatcherName, port.ServerReportMessage{Report: r})
+		}
+	}
+}
+
 func (s *Service) setLeases(all []port.Lease) {
 	for _, l := range all {
 		pool, ok := port.LeasePool(l.Name)
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	decide "briaryard/internal/decide/dispatch"
@@ -17,6 +18,8 @@
 	ringCapacity = 8192
 	// tick is the resolution of deadlines and of adaptive windows.
 	tick = 20 * time.Millisecond
+	// askAgain is how long an instance has to answer a request for its state.
+	askAgain = time.Second
 )
 
 type message interface{ message() }
@@ -40,6 +43,8 @@
 	epoch  model.Epoch
 	began  time.Time
 	ready  bool
+	// asked is when the instances were last asked for their requests.
+	asked time.Time
 }
 
 // Service runs dispatchers.
@@ -53,6 +58,8 @@
 	pools  map[model.PoolID]*pool
 	view   *model.View
 	config *model.Config
+	// table is the last lease table.
+	table []port.Lease
 }
 
 // New returns the service.
@@ -123,6 +130,7 @@
 func (s *Service) handle(now time.Time, m message) {
 	switch m := m.(type) {
 	case leases:
+		s.table = m.leases
 		s.setLeases(now, m.leases)
 	case viewed:
 		s.setView(now, m.view)
@@ -138,8 +146,11 @@
 }
 
 func (s *Service) onTick(now time.Time) {
-	for _, p := range s.pools {
+	for id, p := range s.pools {
 		p.decide.Tick(now)
+		if !p.ready && now.Sub(p.asked) >= askAgain {
+			s.ask(now, id, p)
+		}
 	}
 	s.perform(now)
 }
@@ -159,7 +170,8 @@
 		}
 	}
 	for id, epoch := range held {
-		if s.pools[id] == nil {
+		// Before the view is settled an instance with waiting requests may be missing.
+		if s.pools[id] == nil && s.view.Settled {
 			s.startPool(now, id, epoch)
 		}
 	}
@@ -177,8 +189,32 @@
 	s.log.Emit(event.DispatcherStarted, id, epoch)
 	p.decide.SetConfig(now, s.config)
 	p.decide.SetServers(now, serversOf(s.view, id))
-	for _, i := range expected {
-		_ = s.peers.Send(i, port.DispatchName, port.StateRequest{Pool: id, Epoch: epoch})
+	s.ask(now, id, p)
+}
+
+// ask requests the state of every instance. A request that cannot be queued is repeated
+// while the pool is not ready.
+func (s *Service) ask(now time.Time, id model.PoolID, p *pool) {
+	p.asked = now
+	for _, i := range s.view.Instances {
+		if i.State != model.Gone {
+			s.askOne(i.ID, id, p)
+		}
+	}
+}
+
+func (s *Service) askOne(to model.InstanceID, id model.PoolID, p *pool) {
+	_ = s.peers.Send(to, port.DispatchName, port.StateRequest{Pool: id, Epoch: p.epoch})
+}
+
+// askNew requests the state of instances that were not in the old view, or that this one
+// had removed: their requests were forgotten.
+func (s *Service) askNew(old *model.View, id model.PoolID, p *pool) {
+	for _, i := range s.view.Instances {
+		was, ok := old.Instance(i.ID)
+		if i.State != model.Gone && (!ok || was.State == model.Gone || was.Incarnation != i.Incarnation) {
+			s.askOne(i.ID, id, p)
+		}
 	}
 }
 
@@ -197,7 +233,9 @@
 func (s *Service) setView(now time.Time, v *model.View) {
 	old := s.view
 	s.view = v
+	defer s.setLeases(now, s.table)
 	for id, p := range s.pools {
+		s.askNew(old, id, p)
 		p.decide.SetServers(now, serversOf(v, id))
 		for _, was := range old.Instances {
 			is, ok := v.Instance(was.ID)
@@ -243,7 +281,10 @@
 }
 
 func (s *Service) serverReport(now time.Time, r port.ServerReport) {
-	for _, p := range s.pools {
+	for id, p := range s.pools {
+		if !slices.Contains(r.Pools, id) {
+			continue
+		}
 		if r.Load != nil {
 			p.decide.Load(now, *r.Load)
 		}
--- a/internal/service/frontannounce/service.go
+++ b/internal/service/frontannounce/service.go
@@ -13,11 +13,15 @@
 	"briaryard/internal/httpserve"
 	"briaryard/internal/kernel"
 	"briaryard/internal/port"
+	"briaryard/internal/ring"
 )
 
 // maxBody bounds an announcement; 1000 cache events need about 100 KB.
 const maxBody = 1 << 20
 
+// replyTimeout bounds the wait for the membership; it is below a server's heartbeat time-out.
+const replyTimeout = 800 * time.Millisecond
+
 // Service is the endpoint for backend servers.
 type Service struct {
 	address string
@@ -71,10 +75,22 @@
 		httpserve.WriteProblem(w, f, "")
 		return
 	}
+	outcome := ring.New[error]("announcement", 1, ring.Refuse)
+	a.Reply = func(err error) { _ = outcome.Offer(err) }
 	if err := s.members.Announce(a); err != nil {
 		httpserve.WriteProblem(w, &fault.Overloaded{Resource: "members ring"}, "")
 		return
 	}
+	ctx, cancel := context.WithTimeout(r.Context(), replyTimeout)
+	defer cancel()
+	switch refusal, err := outcome.Get(ctx); {
+	case err != nil:
+		httpserve.WriteProblem(w, &fault.Overloaded{Resource: "members"}, "")
+		return
+	case refusal != nil:
+		httpserve.WriteProblem(w, fault.Of(refusal), "")
+		return
+	}
 	httpserve.WriteJSON(w, http.StatusOK, Reply{HeartbeatMS: heartbeatMS})
 }
 
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -4,19 +4,22 @@
 	"context"
 	"time"
 
+	"briaryard/internal/decide/member"
 	"briaryard/internal/event"
+	"briaryard/internal/fault"
 	"briaryard/internal/kernel"
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/ring"
+	"briaryard/internal/wire/memberwire"
 )
 
 const (
 	ringCapacity = 4096
 	tick         = 100 * time.Millisecond
-	// suspectAfter and goneAfter bound the time without a heartbeat of a backend server.
-	suspectAfter = 1500 * time.Millisecond
-	goneAfter    = 3 * time.Second
+	// listEvery repeats the list of instances for the peers service, which may have had no
+	// room for it.
+	listEvery = 10
 )
 
 type message interface{ message() }
@@ -28,32 +31,33 @@
 	withdrawn bool
 }
 
+type received struct{ from port.PeerMessage }
+
+type connection struct{ status port.PeerStatus }
+
 func (announced) message()   {}
 func (selfChanged) message() {}
+func (received) message()    {}
+func (connection) message()  {}
 
 // Service keeps the membership.
 type Service struct {
 	log     *event.Log
 	ring    *ring.Ring[message]
+	peers   port.Peers
+	self    model.Instance
 	views   []func(*model.View)
 	reports []func(port.ServerReport)
 
 	// The fields below belong to the members duty.
-	self    model.Instance
-	servers map[model.BackendServerID]model.BackendServer
-	heard   map[model.BackendServerID]time.Time
-	version uint64
+	machine *member.Machine
+	ticks   int
+	later   model.Incarnation
 }
 
-// New returns the service.
+// New returns the service. The incarnation of the record comes from the peers service.
 func New(log *event.Log, self model.Instance) *Service {
-	return &Service{
-		log:     log,
-		ring:    ring.New[message]("members", ringCapacity, ring.Block),
-		self:    self,
-		servers: make(map[model.BackendServerID]model.BackendServer),
-		heard:   make(map[model.BackendServerID]time.Time),
-	}
+	return &Service{log: log, self: self, ring: ring.New[message]("members", ringCapacity, ring.Block)}
 }
 
 // Name implements kernel.Service.
@@ -63,12 +67,22 @@
 func (s *Service) Needs() []string { return []string{port.PeersName} }
 
 // Provision implements kernel.Service.
-func (s *Service) Provision(kernel.Resolver) error { return nil }
+func (s *Service) Provision(r kernel.Resolver) error {
+	var err error
+	if s.peers, err = kernel.Resolve[port.Peers](r, port.PeersName); err != nil {
+		return err
+	}
+	_, s.self.Incarnation = s.peers.Self()
+	s.peers.Handle(port.MembersName, memberwire.Codec{}, func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
+	s.peers.SubscribeStatus(func(st port.PeerStatus) error { return s.ring.Offer(connection{st}) })
+	return nil
+}
 
 // Start implements kernel.Service.
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("members", func(ctx context.Context, d *kernel.Duty) {
-		s.publish()
+		s.machine = member.New(time.Now(), s.self, s.peers.Alone())
+		s.perform()
 		kernel.Loop[message]{Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick}.Run(ctx, d)
 	}, s.ring)
 	return nil
@@ -103,64 +117,109 @@
 	case announced:
 		s.announced(now, m.announcement)
 	case selfChanged:
-		s.self.State = m.state
-		s.self.Withdrawn = m.withdrawn
-		s.self.Sequence++
-		s.publish()
+		s.machine.SetSelf(m.state, m.withdrawn)
+	case received:
+		s.received(now, m.from)
+	case connection:
+		s.connection(now, m.status)
+	}
+	s.perform()
+}
+
+func (s *Service) onTick(time.Time) {
+	// The time of the tick is when it was due, which hides a pause of this process.
+	s.machine.Tick(time.Now())
+	s.perform()
+	if s.ticks++; s.ticks%listEvery == 0 {
+		s.peers.SetInstances(s.machine.Known())
 	}
 }
 
 func (s *Service) announced(now time.Time, a port.Announcement) {
-	old, known := s.servers[a.Server.ID]
-	if known && (a.Server.Incarnation < old.Incarnation ||
-		a.Server.Incarnation == old.Incarnation && old.State >= model.Leaving) {
+	result := s.machine.Announce(now, a.Server)
+	var err error
+	if result.Refused {
+		err = &fault.IncarnationGone{Server: a.Server.ID, Known: result.Known}
+	}
+	if a.Reply != nil {
+		a.Reply(err)
+	}
+	if err != nil {
 		return
 	}
-	s.heard[a.Server.ID] = now
-	a.Server.Home = s.self.ID
-	a.Server.Sequence = old.Sequence
-	if !known || old.Incarnation != a.Server.Incarnation || old.State != a.Server.State {
-		a.Server.Sequence++
-		s.servers[a.Server.ID] = a.Server
+	if result.Changed {
 		s.log.Emit(event.ServerAnnounced, a.Server.ID, a.Server.Incarnation, a.Server.Address, a.Server.Domain, a.Server.Pools)
-		s.publish()
+	}
+	if result.PreviousHome != "" {
+		s.log.Emit(event.ServerAdopted, a.Server.ID, a.Server.Incarnation, result.PreviousHome)
+	}
+	if a.Load == nil && len(a.Cache) == 0 {
+		return
 	}
 	for _, sink := range s.reports {
-		sink(port.ServerReport{Load: a.Load, Cache: a.Cache})
+		sink(port.ServerReport{Pools: a.Server.Pools, Load: a.Load, Cache: a.Cache})
 	}
 }
 
-func (s *Service) onTick(now time.Time) {
-	changed := false
-	for id, srv := range s.servers {
-		silent := now.Sub(s.heard[id])
-		state := srv.State
-		switch {
-		case silent > goneAfter:
-			state = model.Gone
-		case silent > suspectAfter && srv.State == model.Alive:
-			state = model.Suspect
-		}
-		if state != srv.State {
-			s.log.Emit(event.ServerState, id, srv.Incarnation, state.String(), "no heartbeat")
-			srv.State = state
-			srv.Sequence++
-			s.servers[id] = srv
-			changed = true
-		}
+func (s *Service) received(now time.Time, m port.PeerMessage) {
+	switch b := m.Body.(type) {
+	case member.Records:
+		s.machine.Merge(now, b)
+	case member.Digest:
+		s.machine.TakeDigest(m.From, b)
+	case member.Versions:
+		s.machine.TakeVersions(m.From, b)
+	case member.Want:
+		s.machine.TakeWant(m.From, b)
 	}
-	if changed {
-		s.publish()
+}
+
+func (s *Service) connection(now time.Time, st port.PeerStatus) {
+	switch st.State {
+	case port.PeerUp:
+		s.machine.PeerUp(now, st.Instance)
+	case port.PeerHeard:
+		s.machine.PeerHeard(now, st.Instance.ID)
+	case port.PeerSilent, port.PeerDown:
+		s.machine.PeerSilent(now, st.Instance.ID, st.LastHeard, st.State == port.PeerDown)
 	}
 }
 
-func (s *Service) publish() {
-	s.version++
-	v := &model.View{Version: s.version, Instances: []model.Instance{s.self}}
-	for _, srv := range s.servers {
-		v.Servers = append(v.Servers, srv)
+// perform sends, logs and publishes what the machine decided.
+func (s *Service) perform() {
+	sends, changes, held := s.machine.Take()
+	for _, m := range sends {
+		if m.To != "" {
+			s.send(m.To, m.Body)
+			continue
+		}
+		for _, to := range s.machine.Connected() {
+			s.send(to, m.Body)
+		}
 	}
-	for _, sink := range s.views {
-		sink(v)
+	for _, c := range changes {
+		if c.Server != "" {
+			s.log.Emit(event.ServerState, c.Server, c.Incarnation, c.State.String(), c.Reason)
+		} else {
+			s.log.Emit(event.InstanceState, c.Instance, c.Incarnation, c.State.String(), c.Reason)
+		}
+	}
+	for _, reason := range held {
+		s.log.Emit(event.ExpiryHeld, reason)
 	}
+	if later := s.machine.Superseded(); later != s.later {
+		s.later = later
+		s.log.Emit(event.IncarnationUsed, s.self.ID, later)
+	}
+	if v, ok := s.machine.View(); ok {
+		s.peers.SetInstances(s.machine.Known())
+		for _, sink := range s.views {
+			sink(v)
+		}
+	}
+}
+
+// send drops a message that cannot be queued; the next digest repairs the loss.
+func (s *Service) send(to model.InstanceID, body any) {
+	_ = s.peers.Send(to, port.MembersName, body)
 }
