--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -43,14 +43,27 @@
 	operators   *frontoperator.Service
 	lifecycle   *lifecycle.Service
 	failed      chan error
+	// leaseHolder is the instance that the local control client gives the leases to.
+	leaseHolder model.InstanceID
 }
 
+// Option changes how an instance is put together.
+type Option func(*Instance)
+
+// WithLeaseHolder makes the local control client give the leases to a certain instance. It
+// is for tests of several instances without a control group.
+func WithLeaseHolder(id model.InstanceID) Option { return func(i *Instance) { i.leaseHolder = id } }
+
 // New constructs an instance with an initial configuration for a fleet of one.
-func New(settings Settings, out *slog.Logger, initial []byte) *Instance {
+func New(settings Settings, out *slog.Logger, initial []byte, options ...Option) *Instance {
 	i := &Instance{
 		settings: settings, log: event.New(out),
 		incarnation: model.Incarnation(time.Now().UnixNano()), failed: make(chan error, 1),
 	}
+	i.leaseHolder = model.InstanceID(settings.ID)
+	for _, o := range options {
+		o(i)
+	}
 	i.kernel = kernel.New(i.onPanic)
 	i.fx = fx.New(
 		fx.NopLogger,
@@ -61,7 +74,7 @@
 			service(func(l *event.Log) *peers.Service { return peers.New(l, settings.peers(i.incarnation)) }),
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(func(initial []byte) *controlclient.Local {
-				return controlclient.NewLocal(model.InstanceID(settings.ID), i.incarnation, initial)
+				return controlclient.NewLocal(i.leaseHolder, i.incarnation, initial)
 			}),
 			service(config.New), service(dispatch.New), service(dispatcher.New), service(entry.New),
 			service(transfer.New), service(func(l *event.Log) kernel.Service { return engineclient.New(l) }),
--- a/internal/standin/announce/announce.go
+++ b/internal/standin/announce/announce.go
@@ -22,9 +22,17 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	home := 0
+	// raised is the lowest incarnation to announce after one was removed.
+	var raised uint64
 	for {
 		for range instances {
-			if send(ctx, client, instances[home], current()) {
+			a := current()
+			a.Incarnation = max(a.Incarnation, raised)
+			status := send(ctx, client, instances[home], a)
+			if status == http.StatusConflict {
+				raised = a.Incarnation + 1
+			}
+			if status == http.StatusOK || status == http.StatusConflict {
 				break
 			}
 			home = (home + 1) % len(instances)
@@ -37,19 +45,20 @@
 	}
 }
 
-func send(ctx context.Context, client *http.Client, instance string, a frontannounce.Announcement) bool {
+// send returns the status of the answer, or zero without one.
+func send(ctx context.Context, client *http.Client, instance string, a frontannounce.Announcement) int {
 	body, err := json.Marshal(a)
 	if err != nil {
-		return false
+		return 0
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+instance+"/v1/backends", bytes.NewReader(body))
 	if err != nil {
-		return false
+		return 0
 	}
 	response, err := client.Do(r)
 	if err != nil {
-		return false
+		return 0
 	}
 	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return response.StatusCode
 }
