--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -44,15 +44,28 @@
 	failed      chan error
 	// drains carries an operator's wish to stop; a repeated wish changes nothing.
 	drains chan struct{}
+	// leaseHolder is the instance that the local control client gives the leases to.
+	leaseHolder model.InstanceID
 }
 
+// Option changes how an instance is put together.
+type Option func(*Instance)
+
+// WithLeaseHolder makes the local control client give the leases to a certain instance. It
+// is for tests of several instances without a control group.
+func WithLeaseHolder(id model.InstanceID) Option { return func(i *Instance) { i.leaseHolder = id } }
+
 // New constructs an instance. With an initial configuration it is a fleet of one that keeps
 // the control state in memory; without one it is part of a fleet with a control group.
-func New(settings Settings, out *slog.Logger, initial []byte) *Instance {
+func New(settings Settings, out *slog.Logger, initial []byte, options ...Option) *Instance {
 	i := &Instance{
 		settings: settings, log: event.New(out),
 		incarnation: model.Incarnation(time.Now().UnixNano()), failed: make(chan error, 1), drains: make(chan struct{}, 1),
 	}
+	i.leaseHolder = model.InstanceID(settings.ID)
+	for _, o := range options {
+		o(i)
+	}
 	i.kernel = kernel.New(i.onPanic)
 	i.fx = fx.New(
 		fx.NopLogger,
@@ -60,7 +73,7 @@
 		fx.Supply(i.log, &i.settings, initial),
 		fx.Provide(metric.NewSet, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
 		fx.Provide(
-			service(func() *peers.Service { return peers.New(model.InstanceID(settings.ID), i.incarnation) }),
+			service(func(l *event.Log) *peers.Service { return peers.New(l, settings.peers(i.incarnation)) }),
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(i.newControlClient),
 			service(func(l *event.Log) *config.Service { return config.New(l, settings.place()) }), service(dispatch.New), service(dispatcher.New), service(entry.New),
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -15,7 +15,7 @@
 // keeps the control state of a fleet of one.
 func (i *Instance) newControlClient(l *event.Log, initial []byte) kernel.Service {
 	if initial != nil {
-		return controlclient.NewLocal(model.InstanceID(i.settings.ID), i.incarnation, initial)
+		return controlclient.NewLocal(i.leaseHolder, i.incarnation, initial)
 	}
 	return controlclient.NewRemote(l, i.settings.voters(), i.settings.ConfirmWithin)
 }
