--- a/internal/decide/session/tracker.go
+++ b/internal/decide/session/tracker.go
@@ -99,7 +99,8 @@
 	declared  map[state.Owner]time.Time
 }
 
-// New returns a tracker for a term that begins now.
+// New returns a tracker for a term that begins now. The leader lease of the previous leader
+// must have ended.
 func New(now time.Time, options Options) *Tracker {
 	return &Tracker{
 		options: options, started: now,
@@ -112,6 +113,10 @@
 
 // Handle takes a heartbeat and returns its answer. It returns false, and the heartbeat gets
 // no answer, if a newer incarnation of the instance is known or the table is full.
+//
+// The leader calls Handle, and sends the answer, only while its leader lease lasts: an answer
+// prolongs leases, and the next leader waits only from the start of its own term (mutation
+// DEPOSED_ANSWERS in spec/lease.pml).
 func (t *Tracker) Handle(now time.Time, h Heartbeat, s State) (Answer, bool) {
 	i, known := t.instances[h.Instance]
 	switch {
