Test single rules of the consensus core

Trial mutations that the simulated group does not reach by chance now fail a test of their own: the lease's start, the floor of acknowledged entries, the reach of a commit index and the commit of entries of earlier terms.

--- a/internal/decide/consensus/rules_test.go
+++ b/internal/decide/consensus/rules_test.go
@@ -156,12 +156,14 @@
 	}
 	s.crash(f)
 	s.settle()
+	s.run(time.Second)
 	l = s.leader()
 	r, _ := l.node.log.members().Find(f.node.set.Self)
 	if r.Boot != f.node.set.Boot || r.BootIndex == 0 {
 		t.Fatalf("boot %v is recorded as %v", f.node.set.Boot, r.Boot)
 	}
-	if n := l.node; n.durableAt(MemberRecord{Member: r.Member, Boot: r.Boot, BootIndex: n.log.last() + 1}) != 0 ||
+	if n := l.node; n.lead.progress[r.Member].match == 0 ||
+		n.durableAt(MemberRecord{Member: r.Member, Boot: r.Boot, BootIndex: n.log.last() + 1}) != 0 ||
 		n.durableAt(MemberRecord{Member: r.Member, Boot: Boot{99, 99}}) != 0 {
 		t.Fatal("an acknowledgement counts before its boot is recorded")
 	}
@@ -190,3 +192,77 @@
 		t.Fatal("a second change began before the first was committed")
 	}
 }
+
+// Guards against a lease that is counted from the arrival of an acknowledgement instead of the
+// send time of its heartbeat.
+func TestLeaseCountsFromTheSendTime(t *testing.T) {
+	s := newSim(t, 15, 3)
+	s.settle()
+	l := s.leader()
+	n, now := l.node, s.clock(l)
+	n.lead.sent = time.Time{}
+	n.Tick(now)
+	for _, v := range n.log.members().Voters() {
+		if p := n.lead.progress[v]; p != nil {
+			n.Step(now.Add(300*time.Millisecond), Message{
+				Type: MsgHeartbeatReply, Group: n.hard.Group, From: v, To: n.set.Self, Boot: p.boot, Term: n.hard.Term,
+				Round: n.lead.round, Index: n.log.last(), Commit: n.log.commit,
+			})
+		}
+	}
+	if got := n.LeaseUntil().Sub(now); got != LeaseDuration {
+		t.Fatalf("the lease ends %v after the heartbeat was sent", got)
+	}
+}
+
+// Guards against a folder that was restored in the boot that the leader still remembers, and
+// therefore shows a plausible boot but a shorter log than it acknowledged.
+func TestLostAcknowledgedEntriesAreNoticed(t *testing.T) {
+	s := newSim(t, 16, 3)
+	s.settle()
+	f := s.machines[0]
+	if f == s.leader() {
+		f = s.machines[1]
+	}
+	was, kept := f.folder, len(f.disk.Entries)
+	for range 5 {
+		s.accept()
+	}
+	s.run(time.Second)
+	s.crash(f)
+	f.disk.Entries = f.disk.Entries[:kept]
+	s.start(f)
+	s.untilWhole()
+	if f.folder == was {
+		t.Fatal("a folder that lost acknowledged entries counts under its former identity")
+	}
+}
+
+// Guards against a commit index that covers entries which were not checked against the leader.
+func TestCommitCoversOnlyCheckedEntries(t *testing.T) {
+	l := newLone()
+	old := []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}}
+	l.step(0, Message{Type: MsgAppend, From: memberB, Term: 2, Index: 1, LogTerm: 1, Entries: old}, true)
+	l.step(0, Message{Type: MsgAppend, From: memberC, Term: 3, Index: 1, LogTerm: 1, Commit: 3, Entries: old[:1]}, true)
+	if c := l.node.Status().Commit; c != 2 {
+		t.Fatalf("commit is %d, but only entry 2 is known to match", c)
+	}
+	sent := l.step(0, Message{Type: MsgAppend, From: memberC, Term: 3, Index: 3, LogTerm: 3, Commit: 3}, true)
+	if len(sent) != 1 || !sent[0].Reject || l.node.Status().Commit != 2 {
+		t.Fatalf("an append after an entry of another term was answered %+v", sent)
+	}
+}
+
+// Guards against an entry of an earlier term that is committed by counting, which a later
+// leader could still replace.
+func TestEntriesOfEarlierTermsAreNotCounted(t *testing.T) {
+	s := newSim(t, 17, 3)
+	s.settle()
+	n := s.leader().node
+	n.log.commit--
+	n.hard.Term++
+	n.advanceCommit()
+	if n.log.commit == n.log.last() {
+		t.Fatal("an entry of an earlier term was committed by counting")
+	}
+}
