Settle streams that are silent before the first answer

A call whose answer never began ended as may_have_run without an attempt to find out. The client now resumes it by request id; an engine that does not know the id is asked to refuse it for good, and only its statement never_admitted proves not_run. A refused connection on resume ends the stream; it no longer counts as proof that the call did not run.

--- a/internal/service/engineclient/client.go
+++ b/internal/service/engineclient/client.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/outcall"
@@ -27,6 +31,8 @@
 	resumePause = 200 * time.Millisecond
 	// cancelTimeout bounds the request that cancels work at the engine.
 	cancelTimeout = 3 * time.Second
+	// maxState bounds the answer to that request.
+	maxState = 4096
 )
 
 // New returns the service.
@@ -58,29 +64,71 @@
 func (c *client) call(ctx context.Context, out port.Outbound, sink outcall.Sink) {
 	s := &stream{sink: sink}
 	err := c.attempt(ctx, s, func(ctx context.Context) (*http.Request, error) { return openRequest(ctx, out) })
-	failures := 0
-	for err != nil && ctx.Err() == nil && s.resumable(err) && failures < maxResumes {
-		next := s.next
-		c.log.Emit(event.StreamResumed, out.Request.String(), out.Server.ID, next, err.Error())
-		pause(ctx, resumePause)
-		err = c.attempt(ctx, s, func(ctx context.Context) (*http.Request, error) {
-			return http.NewRequestWithContext(ctx, http.MethodGet,
-				streamURL(out)+"?from="+strconv.Itoa(next), nil)
-		})
-		failures++
-		if s.next > next {
-			failures = 0
-		}
+	proved := err != nil && !s.admitted && notRun(err)
+	if err != nil && !proved {
+		err, proved = c.recover(ctx, out, s, err)
 	}
 	if ctx.Err() != nil {
-		c.cancel(out)
+		_, _ = c.remove(out)
 	}
 	if err != nil {
 		sink(port.StreamEvent{
 			Kind: port.StreamFailed, PrefillTokens: s.prefill, Err: err,
-			NotRun: !s.admitted && notRun(err),
+			NotRun: proved,
+		})
+	}
+}
+
+// recover resumes a broken stream on new connections as long as it makes progress. An
+// engine that does not know a call that it has not answered is asked to refuse it for good;
+// proved reports that it did so, hence that the call did not run.
+func (c *client) recover(ctx context.Context, out port.Outbound, s *stream, err error) (_ error, proved bool) {
+	for failures := 0; err != nil && ctx.Err() == nil && s.resumable(err) && failures < maxResumes; failures++ {
+		next := s.next
+		c.log.Emit(event.StreamResumed, out.Request.String(), out.Server.ID, next, err.Error())
+		pause(ctx, resumePause)
+		err = c.attempt(ctx, s, func(ctx context.Context) (*http.Request, error) {
+			return http.NewRequestWithContext(ctx, http.MethodGet, streamURL(out)+"?from="+strconv.Itoa(next), nil)
 		})
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			// The backend server is dead, and its answers with it.
+			return err, false
+		case !s.admitted && isUnknown(err):
+			return c.settle(ctx, out, err)
+		case s.next > next:
+			failures = -1
+		}
+	}
+	return err, false
+}
+
+// isUnknown reports whether an engine does not know a call.
+func isUnknown(err error) bool {
+	status, ok := err.(*fault.ServerStatus)
+	return ok && status.Status == http.StatusNotFound
+}
+
+// neverAdmitted is the state of a call that the engine refuses from then on.
+const neverAdmitted = "never_admitted"
+
+// settle asks the engine to refuse a call for good, as its request may still be on the way.
+// Only the engine's word that it never admitted the call proves that it did not run.
+func (c *client) settle(ctx context.Context, out port.Outbound, err error) (_ error, proved bool) {
+	for range maxResumes {
+		if ctx.Err() != nil {
+			break
+		}
+		switch state, failure := c.remove(out); {
+		case failure != nil:
+			pause(ctx, resumePause)
+		case state == neverAdmitted:
+			return &fault.NotAdmitted{Status: http.StatusNotFound}, true
+		default:
+			return err, false
+		}
 	}
+	return err, false
 }
 
 // notRun reports whether a failure of the first attempt proves that the engine did not
@@ -145,17 +193,27 @@
 	return &fault.ServerStatus{Status: r.StatusCode}
 }
 
-// cancel asks the engine to stop the work of a call whose caller has gone.
-func (c *client) cancel(out port.Outbound) {
+// remove asks the engine to stop a call, or to refuse one that it does not know, and
+// returns the state that the engine states.
+func (c *client) remove(out port.Outbound) (string, error) {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
 	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, streamURL(out), nil)
 	if err != nil {
-		return
+		return "", err
+	}
+	response, err := c.http.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		State string `json:"state"`
 	}
-	if response, err := c.http.Do(r); err == nil {
-		_ = response.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxState)).Decode(&answer); err != nil {
+		return "", nil // an engine that states nothing proves nothing
 	}
+	return answer.State, nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/service/engineclient/stream.go
+++ b/internal/service/engineclient/stream.go
@@ -40,14 +40,15 @@
 	prefill int
 }
 
-// resumable reports whether a new connection can continue the stream after err. Before the
-// engine has answered, only a broken or silent connection leaves that question open.
+// resumable reports whether a new connection can continue the stream after err. A broken or
+// silent connection leaves that open, also before the engine has answered; a stated failure
+// does not.
 func (s *stream) resumable(err error) bool {
 	var f fault.Fault
 	if errors.As(err, &f) {
 		return f.Code() == fault.CodeStreamSilent
 	}
-	return s.admitted
+	return true
 }
 
 // read takes events until the stream's end mark. alive is called for every line.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -64,6 +64,8 @@
 	// loads holds load readings until they are old enough to be reported.
 	loads    []loadReading
 	executed map[string]int
+	// refused holds the ids that must not be admitted any more.
+	refused  map[string]bool
 	prefills int
 	fence    uint64
 }
@@ -81,6 +83,7 @@
 		slots: make(chan struct{}, options.Slots), prefill: make(chan struct{}, 1),
 		streams: make(map[string]*stream), slowdown: 1,
 		cache: newPrefixCache(options.CachePrefixes, options.CacheEventGap), executed: make(map[string]int),
+		refused: make(map[string]bool),
 	}
 }
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -43,6 +43,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := newStream(body.Messages, max(body.MaxTokens, 1), cancel)
 	e.mu.Lock()
+	if e.refused[id] {
+		e.mu.Unlock()
+		cancel()
+		w.Header().Set("Briaryard-Not-Admitted", "true")
+		http.Error(w, "the call was refused before it arrived", http.StatusConflict)
+		return
+	}
 	e.executed[id]++
 	e.streams[id] = s
 	e.mu.Unlock()
@@ -83,10 +90,27 @@
 }
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
-	if s := e.find(r); s != nil {
+	id, err := url.PathUnescape(mux.Vars(r)["id"])
+	if err != nil {
+		http.Error(w, "malformed id", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"state":%q}`, e.remove(id))
+}
+
+// remove cancels a call. One that has not arrived is refused when it does.
+func (e *Engine) remove(id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s := e.streams[id]; s != nil {
 		s.cancel()
 	}
-	w.WriteHeader(http.StatusNoContent)
+	if e.executed[id] > 0 {
+		return "admitted"
+	}
+	e.refused[id] = true
+	return "never_admitted"
 }
 
 // send streams an answer from a token on.
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -59,6 +59,20 @@
 	r.Freeze(d)
 }
 
+// Allow lets new connections work; those that are held back stay so.
+func (r *Relay) Allow() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.blocked = 0
+}
+
+// Links returns the number of open connections.
+func (r *Relay) Links() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.links)
+}
+
 // Resume forwards everything again, including what was held back.
 func (r *Relay) Resume() {
 	r.mu.Lock()
