Check certificates and tokens on every listener

Listeners and connections between instances were plain and open to anyone. TLS files are read again when they change; instances must hold a certificate of the shared authority.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"briaryard/internal/event"
+	"briaryard/internal/httpserve"
 	"briaryard/internal/kernel"
 	"briaryard/internal/metric"
 	"briaryard/internal/model"
@@ -26,6 +27,7 @@
 	"briaryard/internal/service/peers"
 	"briaryard/internal/service/plainclient"
 	"briaryard/internal/service/transfer"
+	"briaryard/internal/trust"
 )
 
 // startTimeout bounds the start of all services.
@@ -69,9 +71,11 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.Supply(i.log, &i.settings, initial),
-		fx.Provide(metric.NewSet, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
+		fx.Provide(metric.NewSet, settings.security, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
 		fx.Provide(
-			service(func(l *event.Log) *peers.Service { return peers.New(l, settings.peers(i.incarnation)) }),
+			service(func(l *event.Log, c trust.Configs) *peers.Service {
+				return peers.New(l, settings.peers(i.incarnation, c))
+			}),
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(func(initial []byte) *controlclient.Local {
 				return controlclient.NewLocal(i.leaseHolder, i.incarnation, initial)
@@ -95,19 +99,25 @@
 	return fx.Annotate(constructor, fx.As(new(kernel.Service)), fx.ResultTags(`group:"services"`))
 }
 
-func (i *Instance) newCallers(l *event.Log) *frontcaller.Service {
-	return frontcaller.New(l, frontcaller.Options{
+func (i *Instance) newCallers(l *event.Log, c trust.Configs, t *trust.Tokens) *frontcaller.Service {
+	s := frontcaller.New(l, frontcaller.Options{
 		Address: i.settings.CallerAddress, MaxBody: i.settings.MaxBodyBytes,
 		AddressTTL: int(i.settings.AddressTTL.Seconds()), Domain: model.FailureDomain(i.settings.FailureDomain),
 	})
+	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleTeam)})
+	return s
 }
 
-func (i *Instance) newAnnounce(l *event.Log) *frontannounce.Service {
-	return frontannounce.New(l, i.settings.ServerAddress)
+func (i *Instance) newAnnounce(l *event.Log, c trust.Configs, t *trust.Tokens) *frontannounce.Service {
+	s := frontannounce.New(l, i.settings.ServerAddress)
+	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleServer)})
+	return s
 }
 
-func (i *Instance) newOperators(l *event.Log, m *metric.Set) *frontoperator.Service {
-	return frontoperator.New(l, m, i.settings.OperAddress, i.kernel.Health)
+func (i *Instance) newOperators(l *event.Log, m *metric.Set, c trust.Configs, t *trust.Tokens) *frontoperator.Service {
+	s := frontoperator.New(l, m, i.settings.OperAddress, i.kernel.Health)
+	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleOperator)})
+	return s
 }
 
 func (i *Instance) newLifecycle(l *event.Log) *lifecycle.Service {
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"net"
+	"os"
 	"time"
 
 	"briaryard/internal/fault"
 	"briaryard/internal/model"
 	"briaryard/internal/service/peers"
+	"briaryard/internal/trust"
 )
 
 // Settings are the process settings of an instance. Each is a flag and an environment
@@ -25,6 +27,12 @@
 	AdvCaller     string        `name:"advertise-caller-address" help:"Caller address as callers reach it, if it differs." env:"BRIARYARD_ADVERTISE_CALLER_ADDRESS"`
 	AdvServer     string        `name:"advertise-server-address" help:"Server address as backend servers reach it, if it differs." env:"BRIARYARD_ADVERTISE_SERVER_ADDRESS"`
 	AdvOperator   string        `name:"advertise-operator-address" help:"Operator address as operators reach it, if it differs." env:"BRIARYARD_ADVERTISE_OPERATOR_ADDRESS"`
+	TLSCert       string        `name:"tls-cert" help:"Certificate file (PEM) for all listeners; read again when it changes." env:"BRIARYARD_TLS_CERT"`
+	TLSKey        string        `name:"tls-key" help:"Key file (PEM) of the certificate." env:"BRIARYARD_TLS_KEY"`
+	TLSCA         string        `name:"tls-ca" help:"Certificate file (PEM) of the authority that the instances share." env:"BRIARYARD_TLS_CA"`
+	AllowPlain    bool          `help:"Accept plain connections on addresses other than loopback." env:"BRIARYARD_ALLOW_PLAIN"`
+	TokensFile    string        `help:"File with the tokens of teams, operators and backend servers." env:"BRIARYARD_TOKENS_FILE"`
+	Tokens        string        `help:"The same as text." env:"BRIARYARD_TOKENS"`
 	AddressTTL    time.Duration `name:"address-ttl" help:"How long callers may keep the list of addresses (1s to 5m). A stop waits this long." env:"BRIARYARD_ADDRESS_TTL" default:"5s"`
 	MaxBodyBytes  int64         `help:"Largest request body in bytes (1024 to 67108864)." env:"BRIARYARD_MAX_BODY_BYTES" default:"1048576"`
 	LogLevel      string        `help:"Lowest level of log events: debug, info, warn or error." env:"BRIARYARD_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
@@ -57,6 +65,7 @@
 		}
 	}
 	s.checkPeers(bad)
+	s.checkTrust(bad)
 	if s.AddressTTL < minAddressTTL || s.AddressTTL > maxAddressTTL {
 		bad("--address-ttl", "must be from 1s to 5m")
 	}
@@ -82,6 +91,58 @@
 	}
 }
 
+func (s *Settings) checkTrust(bad func(setting, reason string)) {
+	given := s.TLSCert != "" && s.TLSKey != "" && s.TLSCA != ""
+	if !given && s.TLSCert+s.TLSKey+s.TLSCA != "" {
+		bad("--tls-cert", "needs --tls-key and --tls-ca with it")
+	}
+	for _, address := range []string{s.CallerAddress, s.ServerAddress, s.OperAddress, s.PeerAddress} {
+		host, _, err := net.SplitHostPort(address)
+		if err == nil && !given && !s.AllowPlain && !isLoopback(host) {
+			bad("address "+address, "needs --tls-cert, --tls-key and --tls-ca, or --allow-plain")
+		}
+	}
+	if given {
+		if _, err := trust.Load(s.files()); err != nil {
+			bad("--tls-cert", err.Error())
+		}
+	}
+	if _, err := s.tokens(); err != nil {
+		bad("--tokens", err.Error())
+	}
+}
+
+func (s *Settings) files() trust.Files {
+	return trust.Files{Cert: s.TLSCert, Key: s.TLSKey, Authority: s.TLSCA}
+}
+
+// tokens reads the tokens from the file and from the settings.
+func (s *Settings) tokens() (*trust.Tokens, error) {
+	text := s.Tokens
+	if s.TokensFile != "" {
+		data, err := os.ReadFile(s.TokensFile)
+		if err != nil {
+			return nil, &fault.InvalidSetting{Setting: "--tokens-file", Reason: err.Error()}
+		}
+		text += "\n" + string(data)
+	}
+	t, f := trust.ParseTokens(text)
+	if f != nil {
+		return nil, f
+	}
+	return t, nil
+}
+
+// security returns what the listeners check. The settings have been checked.
+func (s *Settings) security() (trust.Configs, *trust.Tokens, error) {
+	t, err := s.tokens()
+	if err != nil || s.TLSCert == "" {
+		return trust.Configs{}, t, err
+	}
+	c, err := trust.Load(s.files())
+	return c, t, err
+}
+
 func isLoopback(host string) bool {
 	ip := net.ParseIP(host)
 	return host == "localhost" || ip != nil && ip.IsLoopback()
@@ -97,6 +158,9 @@
 	}
 }
 
-func (s *Settings) peers(incarnation model.Incarnation) peers.Options {
-	return peers.Options{Self: s.instance(incarnation), Listen: s.PeerAddress, Peers: s.Peers, Token: s.FleetToken}
+func (s *Settings) peers(incarnation model.Incarnation, c trust.Configs) peers.Options {
+	return peers.Options{
+		Self: s.instance(incarnation), Listen: s.PeerAddress, Peers: s.Peers, Token: s.FleetToken,
+		ServerTLS: c.PeerServer, ClientTLS: c.PeerClient,
+	}
 }
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -22,12 +23,26 @@
 	done     chan struct{}
 }
 
+// Security is what a listener checks. The zero value checks nothing.
+type Security struct {
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+	// Guard examines requests before the handler.
+	Guard func(http.Handler) http.Handler
+}
+
 // Listen opens the address and serves the handler.
-func Listen(address string, handler http.Handler) (*Server, error) {
+func Listen(address string, handler http.Handler, security Security) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &fault.ListenFailed{Address: address, Err: err}
 	}
+	if security.TLS != nil {
+		l = tls.NewListener(l, security.TLS)
+	}
+	if security.Guard != nil {
+		handler = security.Guard(handler)
+	}
 	s := &Server{
 		listener: l,
 		http:     &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout},
--- a/internal/service/frontannounce/service.go
+++ b/internal/service/frontannounce/service.go
@@ -24,15 +24,19 @@
 
 // Service is the endpoint for backend servers.
 type Service struct {
-	address string
-	log     *event.Log
-	members port.Members
-	server  *httpserve.Server
+	address  string
+	log      *event.Log
+	members  port.Members
+	server   *httpserve.Server
+	security httpserve.Security
 }
 
 // New returns the service.
 func New(log *event.Log, address string) *Service { return &Service{address: address, log: log} }
 
+// Secure sets what the listener checks. It is called before Start.
+func (s *Service) Secure(security httpserve.Security) { s.security = security }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return port.AnnounceFrontName }
 
@@ -51,10 +55,10 @@
 	routes := mux.NewRouter()
 	routes.HandleFunc("/v1/backends", s.announce).Methods(http.MethodPost)
 	var err error
-	if s.server, err = httpserve.Listen(s.address, routes); err != nil {
+	if s.server, err = httpserve.Listen(s.address, routes, s.security); err != nil {
 		return err
 	}
-	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), false)
+	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), s.security.TLS != nil)
 	return nil
 }
 
--- a/internal/service/frontcaller/service.go
+++ b/internal/service/frontcaller/service.go
@@ -27,10 +27,11 @@
 
 // Service is the front end for callers.
 type Service struct {
-	options Options
-	log     *event.Log
-	entry   port.Entry
-	server  *httpserve.Server
+	options  Options
+	log      *event.Log
+	entry    port.Entry
+	server   *httpserve.Server
+	security httpserve.Security
 	// view is the newest membership view, for the list of addresses only.
 	view atomic.Pointer[model.View]
 }
@@ -42,6 +43,9 @@
 	return s
 }
 
+// Secure sets what the listener checks. It is called before Start.
+func (s *Service) Secure(security httpserve.Security) { s.security = security }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return port.CallerFrontName }
 
@@ -69,10 +73,10 @@
 	routes.PathPrefix("/v1/services/{service}").HandlerFunc(s.plain)
 	routes.HandleFunc("/v1/addresses", s.addresses).Methods(http.MethodGet)
 	var err error
-	if s.server, err = httpserve.Listen(s.options.Address, routes); err != nil {
+	if s.server, err = httpserve.Listen(s.options.Address, routes, s.security); err != nil {
 		return err
 	}
-	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), false)
+	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), s.security.TLS != nil)
 	return nil
 }
 
--- a/internal/service/frontoperator/service.go
+++ b/internal/service/frontoperator/service.go
@@ -17,13 +17,14 @@
 
 // Service is the endpoint for operators.
 type Service struct {
-	address string
-	log     *event.Log
-	metrics *metric.Set
-	health  func() map[string]error
-	host    *kernel.Host
-	server  *httpserve.Server
-	view    atomic.Pointer[model.View]
+	address  string
+	log      *event.Log
+	metrics  *metric.Set
+	health   func() map[string]error
+	host     *kernel.Host
+	server   *httpserve.Server
+	security httpserve.Security
+	view     atomic.Pointer[model.View]
 }
 
 // New returns the service. health reports the unhealthy services of the process.
@@ -33,6 +34,9 @@
 	return s
 }
 
+// Secure sets what the listener checks. It is called before Start.
+func (s *Service) Secure(security httpserve.Security) { s.security = security }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return port.OperatorFrontName }
 
@@ -58,10 +62,10 @@
 	routes.HandleFunc("/operator/v1/members", s.getMembers).Methods(http.MethodGet)
 	routes.HandleFunc("/operator/v1/explain", s.getExplain).Methods(http.MethodGet)
 	var err error
-	if s.server, err = httpserve.Listen(s.address, routes); err != nil {
+	if s.server, err = httpserve.Listen(s.address, routes, s.security); err != nil {
 		return err
 	}
-	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), false)
+	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), s.security.TLS != nil)
 	return nil
 }
 
