--- a/internal/service/frontoperator/service.go
+++ b/internal/service/frontoperator/service.go
@@ -34,13 +34,14 @@
 
 // Service is the endpoint for operators.
 type Service struct {
-	options Options
-	log     *event.Log
-	metrics *metric.Set
-	started time.Time
-	host    *kernel.Host
-	server  *httpserve.Server
-	control port.ControlClient
+	options  Options
+	log      *event.Log
+	metrics  *metric.Set
+	started  time.Time
+	host     *kernel.Host
+	server   *httpserve.Server
+	security httpserve.Security
+	control  port.ControlClient
 	// voters is nil if the control client cannot change the voters.
 	voters port.VoterChanger
 	ring   *ring.Ring[message]
@@ -58,6 +59,9 @@
 	}
 }
 
+// Secure sets what the listener checks. It is called before Start.
+func (s *Service) Secure(security httpserve.Security) { s.security = security }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return port.OperatorFrontName }
 
@@ -95,10 +99,10 @@
 	s.host = h
 	h.Go("operator", kernel.Loop[message]{Ring: s.ring, Handle: s.handle}.Run, s.ring)
 	var err error
-	if s.server, err = httpserve.Listen(s.options.Address, s.routes()); err != nil {
+	if s.server, err = httpserve.Listen(s.options.Address, s.routes(), s.security); err != nil {
 		return err
 	}
-	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), false)
+	s.log.Emit(event.ListenerOpened, s.Name(), s.server.Address(), s.security.TLS != nil)
 	return nil
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -62,8 +62,10 @@
 	slowdown float64
 	cache    *prefixCache
 	// loads holds load readings until they are old enough to be reported.
-	loads    []loadReading
-	record   *record.Record
+	loads  []loadReading
+	record *record.Record
+	// refused holds the ids that must not be admitted any more.
+	refused  map[string]bool
 	prefills int
 	fence    uint64
 }
@@ -81,6 +83,7 @@
 		slots: make(chan struct{}, options.Slots), prefill: make(chan struct{}, 1),
 		streams: make(map[string]*stream), slowdown: 1,
 		cache: newPrefixCache(options.CachePrefixes, options.CacheEventGap), record: record.New(),
+		refused: make(map[string]bool),
 	}
 }
 
--- a/internal/standin/record/record.go
+++ b/internal/standin/record/record.go
@@ -59,6 +59,13 @@
 	return !r.leavingSince.IsZero()
 }
 
+// Count returns how often a name has been executed.
+func (r *Record) Count(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.executed[name]
+}
+
 // Executed returns the executions by name.
 func (r *Record) Executed() map[string]int {
 	r.mu.Lock()
