Let instances without a voter reach the control group

Cause: an instance without a data folder had no codec for messages to the control service, so its heartbeats were never sent; 7 of 12 instances stayed withdrawn. Change: the peers service is given the codecs of services that may not run at the instance.

--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -9,6 +9,8 @@
 	"briaryard/internal/declare"
 	"briaryard/internal/fault"
 	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/service/control"
 	"briaryard/internal/service/peers"
 	"briaryard/internal/trust"
 )
@@ -190,6 +192,7 @@
 func (s *Settings) peers(incarnation model.Incarnation, c trust.Configs) peers.Options {
 	return peers.Options{
 		Self: s.instance(incarnation), Listen: s.PeerAddress, Peers: s.Peers, Token: s.FleetToken,
+		Codecs:    map[string]port.Codec{port.ControlName: control.NewCodec()},
 		ServerTLS: c.PeerServer, ClientTLS: c.PeerClient,
 	}
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -155,6 +155,10 @@
 			return
 		}
 		extra := r.call(ctx, a, r.book.pick(ctx))
+		if ctx.Err() != nil {
+			// The caller has its answer and has closed this connection itself.
+			return
+		}
 		r.judge.extra(a, extra)
 		if extra.outcome == whole {
 			return
--- a/internal/service/control/codec.go
+++ b/internal/service/control/codec.go
@@ -21,6 +21,10 @@
 	return fmt.Sprintf("unknown kind %d of control message", e.Kind)
 }
 
+// NewCodec returns the codec of messages to the control service, which instances without a
+// voter need as well.
+func NewCodec() port.Codec { return codec{commands: WireCodecs{}.Messages()} }
+
 // codec joins the messages of instances and those between voters under one service name.
 type codec struct {
 	commands  port.Codec
--- a/internal/service/peers/receive.go
+++ b/internal/service/peers/receive.go
@@ -105,7 +105,7 @@
 
 func (r *receiver) deliver(ctx context.Context, m *peerpb.Message) error {
 	h, ok := r.link.service.handlers[m.GetService()]
-	if !ok || h.codec == nil {
+	if !ok || h.codec == nil || h.sink == nil {
 		r.invalid(m, "no such service")
 		return nil
 	}
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -34,6 +34,8 @@
 	Peers []string
 	// Token is shared by the fleet.
 	Token string
+	// Codecs encode messages to services that may not run at this instance, by name.
+	Codecs map[string]port.Codec
 	// ServerTLS and ClientTLS protect the connections; nil for plain connections.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
@@ -69,6 +71,9 @@
 		ring:     ring.New[message]("peers", ringCapacity, ring.Block),
 		handlers: make(map[string]handler),
 	}
+	for name, codec := range o.Codecs {
+		s.handlers[name] = handler{codec: codec}
+	}
 	s.incarnation.Store(uint64(o.Self.Incarnation))
 	s.links.Store(&map[model.InstanceID]*link{})
 	return s
@@ -185,7 +190,7 @@
 func (s *Service) Send(to model.InstanceID, service string, body any) error {
 	h, ok := s.handlers[service]
 	self, incarnation := s.Self()
-	if to == self && ok {
+	if to == self && ok && h.sink != nil {
 		return h.sink(port.PeerMessage{From: self, Incarnation: incarnation, Body: body})
 	}
 	l := (*s.links.Load())[to]
