--- a/internal/load/judge.go
+++ b/internal/load/judge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -24,6 +25,8 @@
 	// whole the keys that were answered whole.
 	notRun map[string]bool
 	whole  map[string]bool
+	// lost describes the first lost requests.
+	lost []string
 }
 
 type tierCount struct {
@@ -35,6 +38,8 @@
 	// maxLatencyMicros bounds the histograms at ten minutes.
 	maxLatencyMicros = 600_000_000
 	significantDigit = 3
+	// maxLost bounds the lost requests that a report describes.
+	maxLost = 20
 )
 
 func newJudge() *judge {
@@ -128,6 +133,9 @@
 		}
 	case broken:
 		j.counts.Lost++
+		if len(j.lost) < maxLost {
+			j.lost = append(j.lost, fmt.Sprintf("%s %s at %s after %s", a.class.Name, a.key, last.address, took.Round(time.Millisecond)))
+		}
 	case cut, mixed:
 	}
 }
@@ -170,7 +178,7 @@
 func (j *judge) report(o Options, e execution) *Report {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	rep := &Report{Mix: o.Mix.Name, Seed: o.Seed, Rate: o.Rate, Seconds: o.Duration.Seconds(), Counts: j.counts, Refusals: j.codes, BrokenAt: j.broken}
+	rep := &Report{Mix: o.Mix.Name, Seed: o.Seed, Rate: o.Rate, Seconds: o.Duration.Seconds(), Counts: j.counts, Refusals: j.codes, BrokenAt: j.broken, Lost: j.lost}
 	for name, n := range e.Executed {
 		if n > 1 {
 			rep.Counts.Doubled++
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -50,7 +50,7 @@
 	return Mix{Name: "office", Classes: []Class{
 		{Name: "chat", Share: 30, Team: "studio", Tier: "urgent", Model: "notes", PromptBytes: [2]int{200, 2000}, Tokens: [2]int{8, 40}, Prefixes: 20, Deadline: 8 * time.Second},
 		{Name: "note", Share: 20, Team: "fitting", Tier: "interactive", Model: "notes", PromptBytes: [2]int{1000, 8000}, Tokens: [2]int{30, 120}, Prefixes: 10, Deadline: 15 * time.Second},
-		{Name: "summary", Share: 25, Team: "archive", Tier: "batch", Model: "notes", PromptBytes: [2]int{4000, 30000}, Tokens: [2]int{40, 200}, Deadline: 30 * time.Second},
+		{Name: "summary", Share: 25, Team: "archive", Tier: "batch", Model: "notes", PromptBytes: [2]int{4000, 30000}, Tokens: [2]int{40, 200}, Deadline: 12 * time.Second},
 		{Name: "stock", Share: 15, Team: "studio", Tier: "interactive", Service: "booking", Path: "/stock", Deadline: 5 * time.Second},
 		{Name: "book", Share: 5, Team: "studio", Tier: "interactive", Service: "booking", Path: "/book", Keyed: true, Deadline: 10 * time.Second},
 		{Name: "loaner", Share: 5, Team: "partner", Tier: "standard", Service: "booking", Path: "/loaner", Keyed: true, Deadline: 10 * time.Second, Impatient: true},
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -33,7 +33,8 @@
 	maxAttempts = 8
 	// impatience is the pause after which an impatient caller sends its request again.
 	impatience = 10 * time.Millisecond
-	// grace is added to a request's deadline before the caller gives up on a connection.
+	// grace is added to a request's deadline before the caller gives up on a connection. An
+	// answer that began in time is not cut off, so it can end later than its deadline.
 	grace       = 15 * time.Second
 	dialTimeout = 2 * time.Second
 	retryPause  = 100 * time.Millisecond
@@ -112,19 +113,23 @@
 	}
 }
 
-// serve is one caller: it sends its request and retries as its class says.
+// serve is one caller: it sends its request and retries as its class says, until its
+// deadline has passed. A broken connection tells it nothing, so it always tries again after
+// one. Each attempt is given up only well after the deadline that it states,
+// by which time a fleet has to have answered.
 func (r *runner) serve(ctx context.Context, a *arrival) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, a.class.Deadline+grace)
-	defer cancel()
+	answered, stop := context.WithCancel(ctx)
+	defer stop()
 	if a.class.Impatient {
-		go r.pester(ctx, a)
+		go r.pester(answered, a)
 	}
 	var last attempt
 	for n := range maxAttempts {
-		last = r.call(ctx, a, r.book.pick(ctx))
+		last = r.try(ctx, a)
 		r.judge.attempt(a, last, n)
-		if done(last) || ctx.Err() != nil {
+		late := time.Since(began) > a.class.Deadline && last.outcome != broken
+		if done(last) || late || ctx.Err() != nil {
 			break
 		}
 		if !waitUntil(ctx, time.Now().Add(retryPause<<n)) {
@@ -134,6 +139,12 @@
 	r.judge.final(a, last, time.Since(began))
 }
 
+func (r *runner) try(ctx context.Context, a *arrival) attempt {
+	ctx, cancel := context.WithTimeout(ctx, a.class.Deadline+grace)
+	defer cancel()
+	return r.call(ctx, a, r.book.pick(ctx))
+}
+
 // done reports whether the caller stops: it has its answer, or a refusal that it cannot
 // better by trying again.
 func done(a attempt) bool {
--- a/internal/service/peers/handshake.go
+++ b/internal/service/peers/handshake.go
@@ -49,11 +49,12 @@
 func (s *Service) dial(ctx context.Context, address string, link, abandoned uint64) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
+	plain := &net.Dialer{LocalAddr: s.localAddress()}
 	var dialer interface {
 		DialContext(ctx context.Context, network, address string) (net.Conn, error)
-	} = &net.Dialer{}
+	} = plain
 	if s.options.ClientTLS != nil {
-		dialer = &tls.Dialer{Config: s.options.ClientTLS}
+		dialer = &tls.Dialer{NetDialer: plain, Config: s.options.ClientTLS}
 	}
 	transport, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -165,3 +166,18 @@
 		s.log.Emit(event.IncarnationRaised, s.options.Self.ID, highest)
 	}
 }
+
+// localAddress returns the address to connect from: the one that this instance listens on,
+// so that what lies between the machines sees one address for each instance. It is nil,
+// which leaves the choice to the system, if the listener is not bound to one IP address.
+func (s *Service) localAddress() net.Addr {
+	host, _, err := net.SplitHostPort(s.options.Listen)
+	if err != nil {
+		return nil
+	}
+	ip := net.ParseIP(host)
+	if ip == nil || ip.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -23,8 +23,10 @@
 	mu      sync.Mutex
 	links   map[*link]struct{}
 	blocked Direction
-	closed  bool
-	wg      sync.WaitGroup
+	// isolated holds the IP addresses whose connections are held back, old and new ones.
+	isolated map[string]bool
+	closed   bool
+	wg       sync.WaitGroup
 }
 
 // link is one forwarded connection.
@@ -40,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, listener: l, links: make(map[*link]struct{})}
+	r := &Relay{target: target, listener: l, links: make(map[*link]struct{}), isolated: make(map[string]bool)}
 	r.wg.Go(r.accept)
 	return r, nil
 }
@@ -59,6 +61,24 @@
 	r.Freeze(d)
 }
 
+// Isolate stops forwarding for the connections that come from an IP address, old and new.
+func (r *Relay) Isolate(ip string) {
+	r.mu.Lock()
+	r.isolated[ip] = true
+	r.mu.Unlock()
+	r.set(func(l *link) {
+		if l.source() == ip {
+			l.held = Both
+		}
+	})
+}
+
+// source returns the IP address that a connection comes from.
+func (l *link) source() string {
+	host, _, _ := net.SplitHostPort(l.ends[0].RemoteAddr().String())
+	return host
+}
+
 // Allow lets new connections work; those that are held back stay so.
 func (r *Relay) Allow() {
 	r.mu.Lock()
@@ -77,6 +97,7 @@
 func (r *Relay) Resume() {
 	r.mu.Lock()
 	r.blocked = 0
+	clear(r.isolated)
 	r.mu.Unlock()
 	r.set(func(l *link) { l.held = 0 })
 }
@@ -134,6 +155,9 @@
 		return
 	}
 	l.held = r.blocked
+	if r.isolated[l.source()] {
+		l.held = Both
+	}
 	r.links[l] = struct{}{}
 	r.wg.Go(func() { r.copy(l, l.ends[0], l.ends[1], ToTarget) })
 	r.wg.Go(func() { r.copy(l, l.ends[1], l.ends[0], FromTarget) })
