Order a pool by tier, team share and deadline; learn the speed of servers

The first pool sorted all waiting requests for each decision and took the server with the fewest requests. It knew no teams, costs, speeds or duplicate keys.

decide/dispatch now keeps heaps by team and tier with start-time fair queueing, sheds by tier, share and cost, refuses requests that the fastest idle server cannot answer in time, and lets duplicate keys wait behind the first. decide/fleet keeps windows, learned speeds and the prefix index. The dispatcher service passes the failure domains of the instances.

--- /dev/null
+++ b/internal/decide/dispatch/bench_test.go
@@ -0,0 +1,127 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"briaryard/internal/decide/dispatch"
+	"briaryard/internal/model"
+)
+
+// sizes go from today's deployments to the design size.
+var sizes = []struct{ servers, teams, waiting int }{
+	{15, 5, 500}, {60, 50, 5_000}, {200, 400, 20_000}, {600, 1300, 50_000},
+}
+
+// load is a pool with all windows full and a number of requests waiting.
+type load struct {
+	pool        *dispatch.Pool
+	now         time.Time
+	seq         uint64
+	teams       int
+	outstanding []model.Grant
+}
+
+func newLoad(servers, teams, waiting int) *load {
+	l := &load{pool: dispatch.NewPool("m", 1, nil), now: epoch, teams: teams}
+	c := &model.Config{
+		Teams:        make(map[model.TeamID]model.Team),
+		Pools:        map[model.PoolID]model.Pool{"m": {ID: "m", MaxWaiting: waiting}},
+		MinimumShare: [model.TierCount]float64{0, 0.05, 0.05, 0.05},
+	}
+	for i := range teams {
+		id := model.TeamID(fmt.Sprint("t", i))
+		c.Teams[id] = model.Team{ID: id, Weight: float64(1 + i%4)}
+	}
+	l.pool.SetConfig(l.now, c)
+	var list []model.BackendServer
+	for i := range servers {
+		list = append(list, model.BackendServer{
+			ID: model.BackendServerID(fmt.Sprint("s", i)), Incarnation: 1, Slots: 16,
+			Generation: fmt.Sprint("g", i%3), Domain: model.FailureDomain(fmt.Sprint("d", i%5)),
+		})
+	}
+	l.pool.SetServers(l.now, list)
+	for range waiting + servers*16 {
+		l.register()
+	}
+	return l
+}
+
+func (l *load) register() {
+	l.seq++
+	d := model.Descriptor{
+		ID:   model.RequestID{Instance: model.InstanceID(fmt.Sprint("i", l.seq%380)), Incarnation: 1, Seq: l.seq},
+		Pool: "m", Team: model.TeamID(fmt.Sprint("t", l.seq%uint64(l.teams))), Tier: model.Tier(l.seq % 4),
+		Arrived: l.now, Deadline: l.now.Add(time.Hour + time.Duration(l.seq*7919%1000)*time.Second),
+		PromptTokens: int(10 + l.seq*31%4000), OutputTokens: int(10 + l.seq*17%400),
+	}
+	for i := range 6 {
+		d.Prefix = append(d.Prefix, uint64(i+1)*1_000_003+l.seq%50)
+	}
+	l.pool.Register(l.now, d)
+	l.take()
+}
+
+func (l *load) take() {
+	for _, d := range l.pool.Take() {
+		if d.Kind == dispatch.Granted {
+			l.outstanding = append(l.outstanding, d.Grant)
+		}
+	}
+}
+
+func (l *load) finish() {
+	i := int(l.seq*2654435761) % len(l.outstanding)
+	g := l.outstanding[i]
+	l.outstanding[i] = l.outstanding[len(l.outstanding)-1]
+	l.outstanding = l.outstanding[:len(l.outstanding)-1]
+	l.pool.Report(l.now, model.Progress{
+		Request: g.Request, Server: g.Server, Epoch: g.Epoch, Kind: model.ProgressFinished,
+		FirstToken: 200 * time.Millisecond, PerToken: 20 * time.Millisecond, Tokens: 100,
+	})
+	l.take()
+}
+
+// BenchmarkDecision measures one answer with the grant that follows, and one arrival.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("servers=%d/teams=%d/waiting=%d", size.servers, size.teams, size.waiting), func(b *testing.B) {
+			l := newLoad(size.servers, size.teams, size.waiting)
+			times := make([]time.Duration, 0, 2*b.N)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.now = l.now.Add(time.Millisecond)
+				start := time.Now()
+				l.finish()
+				middle := time.Now()
+				l.register()
+				times = append(times, middle.Sub(start), time.Since(middle))
+			}
+			slices.Sort(times)
+			b.ReportMetric(float64(times[len(times)*99/100].Nanoseconds()), "p99-ns")
+		})
+	}
+}
+
+// BenchmarkWaitingMemory measures the heap for each waiting request, descriptor included.
+func BenchmarkWaitingMemory(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("waiting=%d", size.waiting), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				l := newLoad(1, size.teams, size.waiting)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(l)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size.waiting), "B/waiting")
+			b.ReportMetric(float64(after.HeapObjects-before.HeapObjects)/float64(size.waiting), "objects/waiting")
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/dispatch/decide.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"briaryard/internal/decide/fleet"
+	"briaryard/internal/model"
+)
+
+const (
+	// refusalMargin is the part of the shortest possible time that a request must have left.
+	// Below 1, an estimate that is somewhat high refuses nothing that could still be in time.
+	refusalMargin = 0.8
+	// holdInterval is the time after which requests that no open server could answer in time
+	// are tried again.
+	holdInterval = 20 * time.Millisecond
+	// maxHeld bounds the requests passed over in one tier, and so the cost of a decision.
+	maxHeld = 16
+	// creditLimit bounds what a tier can save of its minimum share, in tokens.
+	creditLimit = 50_000
+	// slackFactor covers errors of the completion rate when a lower tier goes first.
+	slackFactor = 2
+)
+
+// decide grants and evicts as far as the state allows.
+func (p *Pool) decide(now time.Time) {
+	if !p.Ready() {
+		return
+	}
+	if now.Sub(p.lastHeld) >= holdInterval {
+		p.lastHeld = now
+		for i := range p.tiers {
+			p.tiers[i].release()
+		}
+	}
+	p.expire(now)
+	for p.fleet.Free() > 0 {
+		r := p.pick(now)
+		if r == nil {
+			break
+		}
+		if !p.place(now, r) {
+			break
+		}
+	}
+	p.shed()
+}
+
+// lastUseful returns the last time at which a grant could still meet the deadline.
+func (p *Pool) lastUseful(d *model.Descriptor) time.Time {
+	if p.fleet.Usable() == 0 {
+		return d.Deadline
+	}
+	least := p.fleet.Least(d, float64(d.OutputTokens)*min(p.pace.output[d.Tier], 1))
+	return d.Deadline.Add(-time.Duration(float64(least) * refusalMargin))
+}
+
+// expire refuses requests that can no longer meet their deadline. The estimate is made
+// again first, because speeds may have been learned since.
+func (p *Pool) expire(now time.Time) {
+	for i := range p.tiers {
+		t := &p.tiers[i]
+		for t.useful.len() > 0 {
+			r := t.useful.top()
+			if !r.useful.Before(now) {
+				break
+			}
+			r.useful = p.lastUseful(&r.desc)
+			if !r.useful.Before(now) {
+				t.useful.fix(0)
+				continue
+			}
+			p.drop(r)
+			if p.fleet.Usable() == 0 {
+				p.evict(r, NoServer, "no backend server serves the pool")
+			} else {
+				p.evict(r, DeadlineUnreachable, "the fastest idle server could not answer in time")
+			}
+		}
+	}
+}
+
+// pick returns the next request in order, or nil.
+func (p *Pool) pick(now time.Time) *request {
+	free := float64(p.fleet.Free())
+	reserve := 0.0
+	first := -1
+	for i := range p.tiers {
+		t := &p.tiers[i]
+		if t.starts.len() > 0 && (free > reserve || i == 0) {
+			first = i
+			break
+		}
+		reserve += p.headroom(now, model.Tier(i))
+	}
+	if first < 0 {
+		return nil
+	}
+	if lower := p.entitled(now, first, free); lower >= 0 {
+		first = lower
+	}
+	return p.tiers[first].starts.top().deadlines.top()
+}
+
+// headroom is the room kept free for arrivals of a tier that lower tiers must not use.
+func (p *Pool) headroom(time.Time, model.Tier) float64 { return 0 }
+
+// entitled returns a tier below the first that is owed part of its minimum share, if every
+// more urgent request can wait for it without missing its deadline; else -1.
+func (p *Pool) entitled(now time.Time, first int, free float64) int {
+	ahead := int64(0)
+	slack := time.Duration(1<<63 - 1)
+	reserve := 0.0
+	for i := range p.tiers {
+		t := &p.tiers[i]
+		if i > first && t.starts.len() > 0 && t.credit > 0 && free > reserve {
+			cost := ahead + t.starts.top().deadlines.top().cost
+			if p.pace.rate > 0 && slack.Seconds() > slackFactor*float64(cost)/p.pace.rate {
+				return i
+			}
+		}
+		if t.useful.len() > 0 {
+			slack = min(slack, t.useful.top().useful.Sub(now))
+		}
+		ahead += t.backlog
+		reserve += p.headroom(now, model.Tier(i))
+	}
+	return -1
+}
+
+// place grants a request if an open server can answer it in time, else holds it back. It
+// reports whether to go on.
+func (p *Pool) place(now time.Time, r *request) bool {
+	d := &r.desc
+	output := float64(d.OutputTokens) * p.pace.output[d.Tier]
+	e, inTime, found := p.fleet.Choose(now, d, p.domains[d.ID.Instance], output, d.Deadline.Sub(now))
+	if !found {
+		return false
+	}
+	if !inTime && !p.worthwhile(now, d, e) {
+		t := &p.tiers[d.Tier]
+		if len(t.held) >= maxHeld {
+			return false
+		}
+		t.hold(r)
+		return true
+	}
+	p.grant(now, r, e)
+	return true
+}
+
+// worthwhile reports whether a request that is expected to end late may still be in time.
+func (p *Pool) worthwhile(now time.Time, d *model.Descriptor, e fleet.Estimate) bool {
+	return now.Add(time.Duration(float64(e.End) * refusalMargin)).Before(d.Deadline)
+}
+
+func (p *Pool) grant(now time.Time, r *request, e fleet.Estimate) {
+	t := &p.tiers[r.desc.Tier]
+	t.charge(r.flow, r.cost)
+	p.credit(r)
+	p.dequeue(r)
+	r.phase = granted
+	r.grant = model.Grant{Request: r.desc.ID, Pool: p.id, Server: e.Server, Incarnation: e.Incarnation, Epoch: p.epoch}
+	r.work = p.fleet.Begin(now, &r.desc, r.grant)
+	p.outstanding++
+	p.pace.began(now, r.desc.Tier)
+	p.emit(Decision{Kind: Granted, Descriptor: r.desc, Grant: r.grant, Reason: reason(e)})
+}
+
+// credit accounts a grant to the minimum shares of the tiers that wait.
+func (p *Pool) credit(r *request) {
+	for i := range p.tiers {
+		t := &p.tiers[i]
+		if t.waiting == 0 {
+			t.credit = 0
+			continue
+		}
+		t.credit = min(t.credit+p.minimum[i]*float64(r.cost), creditLimit)
+		if i == int(r.desc.Tier) {
+			t.credit = max(t.credit-float64(r.cost), -creditLimit)
+		}
+	}
+}
+
+func reason(e fleet.Estimate) string {
+	return fmt.Sprintf("estimated first token %s, end %s; %d prompt tokens cached; %d of %d in flight",
+		e.FirstToken.Round(time.Millisecond), e.End.Round(time.Millisecond), e.Saved, e.InFlight+1, e.Window)
+}
--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -1,25 +1,44 @@
 package dispatch
 
 import (
-	"fmt"
-	"slices"
 	"time"
 
+	"briaryard/internal/decide/fleet"
 	"briaryard/internal/model"
 )
 
-// defaultMaxWaiting applies to pools that declare no bound.
-const defaultMaxWaiting = 50_000
+const (
+	// defaultMaxWaiting applies to pools that declare no bound.
+	defaultMaxWaiting = 50_000
+	// tokensPerWaiting sets the bound on waiting tokens from the bound on waiting requests.
+	// It is far above the mean request, so that it acts only on unusually long ones.
+	tokensPerWaiting = 4_000
+)
 
 // Pool orders the waiting requests of one pool.
 type Pool struct {
 	id          model.PoolID
 	epoch       model.Epoch
 	maxWaiting  int
-	waiting     []model.Descriptor
-	servers     map[model.BackendServerID]model.BackendServer
-	outstanding map[model.RequestID]Outstanding
-	load        map[model.BackendServerID]int
+	maxTokens   int64
+	teams       map[model.TeamID]model.Team
+	defaultTeam model.TeamID
+	minimum     [model.TierCount]float64
+	fleet       *fleet.Fleet
+	domains     map[model.InstanceID]model.FailureDomain
+
+	requests  map[model.RequestID]*request
+	instances map[model.InstanceID]*request
+	keys      map[model.KeyHash]*request
+	tiers     [model.TierCount]tierOrder
+	memory    memory
+	// tokens is the cost of all waiting requests.
+	tokens      int64
+	following   int
+	outstanding int
+	pace        pace
+	// lastHeld is when held requests were last put back.
+	lastHeld time.Time
 	// expected lists the instances that have not been heard from since the pool was created.
 	expected map[model.InstanceID]struct{}
 	out      []Decision
@@ -27,14 +46,27 @@
 
 // NewPool returns a pool that decides nothing until it has heard from the expected instances.
 func NewPool(id model.PoolID, epoch model.Epoch, expected []model.InstanceID) *Pool {
+	return NewPoolWith(id, epoch, expected, fleet.NewGradient, uint64(epoch))
+}
+
+// NewPoolWith returns a pool with a control law and a seed for its random choices.
+func NewPoolWith(id model.PoolID, epoch model.Epoch, expected []model.InstanceID, law fleet.NewLaw, seed uint64) *Pool {
 	p := &Pool{
-		id:          id,
-		epoch:       epoch,
-		maxWaiting:  defaultMaxWaiting,
-		servers:     make(map[model.BackendServerID]model.BackendServer),
-		outstanding: make(map[model.RequestID]Outstanding),
-		load:        make(map[model.BackendServerID]int),
-		expected:    make(map[model.InstanceID]struct{}),
+		id:         id,
+		epoch:      epoch,
+		maxWaiting: defaultMaxWaiting,
+		maxTokens:  defaultMaxWaiting * tokensPerWaiting,
+		fleet:      fleet.New(law, seed),
+		domains:    make(map[model.InstanceID]model.FailureDomain),
+		requests:   make(map[model.RequestID]*request),
+		instances:  make(map[model.InstanceID]*request),
+		keys:       make(map[model.KeyHash]*request),
+		memory:     newMemory(),
+		pace:       newPace(),
+		expected:   make(map[model.InstanceID]struct{}),
+	}
+	for i := range p.tiers {
+		p.tiers[i].init()
 	}
 	for _, i := range expected {
 		p.expected[i] = struct{}{}
@@ -45,87 +77,187 @@
 // Ready reports whether the pool has heard from every expected instance.
 func (p *Pool) Ready() bool { return len(p.expected) == 0 }
 
-// Counts returns the numbers of waiting and outstanding requests.
-func (p *Pool) Counts() (waiting, outstanding int) { return len(p.waiting), len(p.outstanding) }
+// Counts returns the numbers of waiting and outstanding requests. Followers of a request
+// with the same key take no place and are not counted.
+func (p *Pool) Counts() (waiting, outstanding int) {
+	return len(p.requests) - p.outstanding - p.following, p.outstanding
+}
 
 // SetConfig takes the pool's and the teams' declarations.
 func (p *Pool) SetConfig(now time.Time, c *model.Config) {
 	if pool, ok := c.Pools[p.id]; ok && pool.MaxWaiting > 0 {
 		p.maxWaiting = pool.MaxWaiting
+		p.maxTokens = int64(pool.MaxWaiting) * tokensPerWaiting
+	}
+	p.teams, p.defaultTeam, p.minimum = c.Teams, c.DefaultTeam, c.MinimumShare
+	for i := range p.tiers {
+		p.tiers[i].reweigh(p.weight)
 	}
 	p.decide(now)
 }
 
 // SetServers takes the backend servers that serve the pool.
 func (p *Pool) SetServers(now time.Time, servers []model.BackendServer) {
-	clear(p.servers)
-	for _, s := range servers {
-		p.servers[s.ID] = s
-	}
+	p.fleet.Set(servers)
 	p.decide(now)
 }
 
+// SetInstances takes the failure domains of the entry instances.
+func (p *Pool) SetInstances(instances []model.Instance) {
+	clear(p.domains)
+	for _, i := range instances {
+		p.domains[i.ID] = i.Domain
+	}
+}
+
 // Load takes a load report. It may be old.
-func (p *Pool) Load(time.Time, model.LoadReport) {}
+func (p *Pool) Load(now time.Time, r model.LoadReport) {
+	p.fleet.Load(r)
+	p.decide(now)
+}
 
 // Cache takes cache events of one server. They may be late and have gaps.
-func (p *Pool) Cache(time.Time, []model.CacheEvent) {}
+func (p *Pool) Cache(_ time.Time, events []model.CacheEvent) {
+	for _, e := range events {
+		p.fleet.Cache(e)
+	}
+}
 
-// Register adds a waiting request. A repeat changes nothing.
+// Register adds a waiting request. A repeat changes nothing, and neither does a
+// registration that arrives after the request has ended.
 func (p *Pool) Register(now time.Time, d model.Descriptor) {
-	if _, ok := p.outstanding[d.ID]; ok || p.find(d.ID) >= 0 {
+	if e, ok := p.memory.endings[d.ID]; ok && e.final {
 		return
 	}
-	p.waiting = append(p.waiting, d)
+	p.add(d)
 	p.decide(now)
 }
 
+func (p *Pool) add(d model.Descriptor) {
+	if p.requests[d.ID] != nil || d.Tier >= model.TierCount {
+		return
+	}
+	r := p.track(d)
+	if !p.join(r) {
+		p.enqueue(r)
+	}
+}
+
 // Withdraw removes a waiting request.
 func (p *Pool) Withdraw(now time.Time, id model.RequestID) {
-	if i := p.find(id); i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
+	r := p.requests[id]
+	if r != nil && r.phase == granted {
+		// The grant is on its way; the instance will return it.
+		return
+	}
+	p.memory.add(id, ending{final: true})
+	if r != nil {
+		p.drop(r)
 	}
 	p.decide(now)
 }
 
-// Report takes the course of a granted request.
+// Report takes the course of a granted request. A report about an earlier grant of the
+// request, or after its end, changes nothing.
 func (p *Pool) Report(now time.Time, g model.Progress) {
+	r := p.requests[g.Request]
+	if r == nil || r.phase != granted || r.grant.Server != g.Server || r.grant.Epoch != g.Epoch {
+		return
+	}
+	p.fleet.Progress(r.work, g)
 	if g.Kind.Final() {
-		p.release(g.Request)
+		p.ended(now, r, g)
 	}
 	p.decide(now)
 }
 
-// Resync takes one instance's waiting and outstanding requests.
+func (p *Pool) ended(now time.Time, r *request, g model.Progress) {
+	// A returned or failed request may be registered again: it may not have run.
+	final := g.Kind == model.ProgressFinished || g.Kind == model.ProgressCancelled
+	p.memory.add(r.desc.ID, ending{final: final, grant: r.grant})
+	if g.Kind == model.ProgressFinished {
+		p.pace.finished(now, r, g.Tokens)
+	}
+	if g.Kind == model.ProgressReturned {
+		p.drop(r)
+		return
+	}
+	p.conclude(r)
+	p.forget(r)
+}
+
+// Resync takes one instance's waiting and outstanding requests. It may be older than
+// messages that have already arrived, so it only adds requests.
 func (p *Pool) Resync(now time.Time, from model.InstanceID, waiting []model.Descriptor, outstanding []Outstanding) {
-	for _, o := range outstanding {
-		if _, ok := p.outstanding[o.Grant.Request]; !ok {
-			p.outstanding[o.Grant.Request] = o
-			p.load[o.Grant.Server]++
-		}
+	for i := range outstanding {
+		p.takeOver(now, &outstanding[i])
 	}
 	for _, d := range waiting {
-		if p.find(d.ID) < 0 {
-			p.waiting = append(p.waiting, d)
+		e, ended := p.memory.endings[d.ID]
+		switch {
+		case ended && e.evicted:
+			p.emit(Decision{Kind: e.kind, Descriptor: d, Reason: "repeated for an instance that still lists the request"})
+		case !ended || !e.final:
+			p.add(d)
 		}
 	}
 	delete(p.expected, from)
 	p.decide(now)
 }
 
+// takeOver counts a request that another dispatcher granted.
+func (p *Pool) takeOver(now time.Time, o *Outstanding) {
+	id := o.Grant.Request
+	if e, ok := p.memory.endings[id]; ok && (e.final || e.grant == o.Grant) {
+		return
+	}
+	r := p.requests[id]
+	if r != nil && r.phase == granted {
+		return
+	}
+	if r != nil {
+		// Listed as waiting by an older message than the grant.
+		p.drop(r)
+	}
+	r = p.track(o.Descriptor)
+	r.phase = granted
+	r.grant = o.Grant
+	r.work = p.fleet.Begin(now, &r.desc, o.Grant)
+	p.outstanding++
+	p.pace.began(now, r.desc.Tier)
+	if r.desc.Key.IsZero() {
+		return
+	}
+	switch first := p.keys[r.desc.Key]; {
+	case first == nil:
+		p.keys[r.desc.Key] = r
+	case first.phase == waiting:
+		p.supplant(first, r)
+	}
+}
+
 // InstanceGone forgets the requests of an instance up to an incarnation.
 func (p *Pool) InstanceGone(now time.Time, id model.InstanceID, incarnation model.Incarnation) {
-	gone := func(r model.RequestID) bool { return r.Instance == id && r.Incarnation <= incarnation }
-	p.waiting = slices.DeleteFunc(p.waiting, func(d model.Descriptor) bool { return gone(d.ID) })
-	for r := range p.outstanding {
-		if gone(r) {
-			p.release(r)
+	for r := p.instances[id]; r != nil; {
+		// Dropping a request can only link others of this instance before it.
+		next := r.next
+		if r.desc.ID.Incarnation <= incarnation {
+			p.lost(r)
 		}
+		r = next
 	}
 	delete(p.expected, id)
 	p.decide(now)
 }
 
+func (p *Pool) lost(r *request) {
+	p.memory.add(r.desc.ID, ending{final: true})
+	if r.phase == granted {
+		p.fleet.Progress(r.work, model.Progress{Request: r.desc.ID, Kind: model.ProgressCancelled})
+	}
+	p.drop(r)
+}
+
 // Tick applies time limits.
 func (p *Pool) Tick(now time.Time) { p.decide(now) }
 
@@ -136,74 +268,18 @@
 	return out
 }
 
-func (p *Pool) release(id model.RequestID) {
-	if o, ok := p.outstanding[id]; ok {
-		delete(p.outstanding, id)
-		p.load[o.Grant.Server]--
-	}
-}
-
-func (p *Pool) find(id model.RequestID) int {
-	return slices.IndexFunc(p.waiting, func(d model.Descriptor) bool { return d.ID == id })
-}
-
-// decide grants and evicts as far as the state allows.
-func (p *Pool) decide(now time.Time) {
-	if !p.Ready() {
-		return
-	}
-	slices.SortStableFunc(p.waiting, func(a, b model.Descriptor) int {
-		if a.Tier != b.Tier {
-			return int(a.Tier) - int(b.Tier)
-		}
-		return a.Deadline.Compare(b.Deadline)
-	})
-	for len(p.waiting) > 0 {
-		d := p.waiting[0]
-		if now.After(d.Deadline) {
-			p.waiting = p.waiting[1:]
-			p.emit(Decision{Kind: DeadlineUnreachable, Descriptor: d, Reason: "deadline passed"})
-			continue
-		}
-		s, ok := p.leastLoaded()
-		if !ok {
-			break
-		}
-		p.waiting = p.waiting[1:]
-		p.grant(d, s)
-	}
-	for len(p.waiting) > p.maxWaiting {
-		last := p.waiting[len(p.waiting)-1]
-		p.waiting = p.waiting[:len(p.waiting)-1]
-		p.emit(Decision{Kind: Shed, Descriptor: last, Reason: "waiting set full; lowest tier"})
-	}
-}
-
-func (p *Pool) grant(d model.Descriptor, s model.BackendServer) {
-	g := model.Grant{Request: d.ID, Pool: p.id, Server: s.ID, Incarnation: s.Incarnation, Epoch: p.epoch}
-	p.outstanding[d.ID] = Outstanding{Grant: g, Descriptor: d}
-	p.load[s.ID]++
-	reason := fmt.Sprintf("least outstanding: %d of %d slots", p.load[s.ID], s.Slots)
-	p.emit(Decision{Kind: Granted, Descriptor: d, Grant: g, Reason: reason})
-}
-
 func (p *Pool) emit(d Decision) {
 	d.Waiting, d.Outstanding = p.Counts()
 	p.out = append(p.out, d)
 }
 
-// leastLoaded returns the usable server with the smallest share of used slots.
-func (p *Pool) leastLoaded() (model.BackendServer, bool) {
-	var best model.BackendServer
-	found := false
-	for id, s := range p.servers {
-		if !s.Usable() || p.load[id] >= s.Slots {
-			continue
-		}
-		if !found || p.load[id] < p.load[best.ID] || p.load[id] == p.load[best.ID] && id < best.ID {
-			best = s
-			found = true
-		}
+func (p *Pool) weight(team model.TeamID) float64 {
+	t, ok := p.teams[team]
+	if !ok {
+		t = p.teams[p.defaultTeam]
+	}
+	if t.Weight <= 0 {
+		return 1
 	}
-	return best, found
+	return t.Weight
 }
--- /dev/null
+++ b/internal/decide/fleet/law.go
@@ -0,0 +1,84 @@
+package fleet
+
+import "math"
+
+// Observation compares one answer with what an unloaded, healthy server of the same
+// hardware generation would have needed.
+type Observation struct {
+	// Ratio is expected time divided by observed time; 1 or more is as fast as expected.
+	Ratio float64
+	// InFlight is the number of requests in flight on the server when the answer arrived.
+	InFlight int
+}
+
+// Law decides how many requests may be in flight on one server.
+type Law interface {
+	// Window returns the present limit, at least 1.
+	Window() float64
+	// Observe takes one answer.
+	Observe(o Observation)
+}
+
+// NewLaw creates a law for a server that announces a number of slots.
+type NewLaw func(slots int) Law
+
+const (
+	// tolerance is the slowdown that counts as normal variation: estimates of prompts that
+	// share an engine with others are off by up to half.
+	tolerance = 1.5
+	// lowestGradient bounds the decrease for one answer, because one slow answer may have
+	// waited behind a single long prompt.
+	lowestGradient = 0.5
+)
+
+// gradient scales the window by expected over observed time.
+type gradient struct{ window, limit float64 }
+
+// NewGradient returns the gradient law.
+func NewGradient(slots int) Law {
+	return &gradient{window: float64(max(slots, 1)), limit: float64(max(slots, 1))}
+}
+
+func (g *gradient) Window() float64 { return g.window }
+
+func (g *gradient) Observe(o Observation) {
+	factor := min(max(o.Ratio*tolerance, lowestGradient), 1)
+	next := g.window * factor
+	if factor == 1 {
+		// A window that is not used gives no evidence that a larger one would do.
+		if float64(o.InFlight) < g.window/2 {
+			return
+		}
+		next += math.Sqrt(g.window) / 4
+	}
+	g.window = min(max(next, 1), g.limit)
+}
+
+// aimd adds a constant for each normal answer and multiplies for each slow one.
+type aimd struct{ window, limit float64 }
+
+// NewAIMD returns the additive increase, multiplicative decrease law.
+func NewAIMD(slots int) Law {
+	return &aimd{window: float64(max(slots, 1)), limit: float64(max(slots, 1))}
+}
+
+func (a *aimd) Window() float64 { return a.window }
+
+func (a *aimd) Observe(o Observation) {
+	if o.Ratio*tolerance < 1 {
+		a.window = max(a.window*0.7, 1)
+		return
+	}
+	if float64(o.InFlight) >= a.window/2 {
+		a.window = min(a.window+1/a.window, a.limit)
+	}
+}
+
+// fixed keeps the announced slots.
+type fixed struct{ window float64 }
+
+// NewFixed returns the law that never changes the window.
+func NewFixed(slots int) Law { return fixed{float64(max(slots, 1))} }
+
+func (f fixed) Window() float64     { return f.window }
+func (f fixed) Observe(Observation) {}
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -175,6 +175,7 @@
 	s.pools[id] = p
 	s.log.Emit(event.DispatcherStarted, id, epoch)
 	p.decide.SetConfig(now, s.config)
+	p.decide.SetInstances(s.view.Instances)
 	p.decide.SetServers(now, serversOf(s.view, id))
 	for _, i := range expected {
 		_ = s.peers.Send(i, port.DispatchName, port.StateRequest{Pool: id, Epoch: epoch})
@@ -197,6 +198,7 @@
 	old := s.view
 	s.view = v
 	for id, p := range s.pools {
+		p.decide.SetInstances(v.Instances)
 		p.decide.SetServers(now, serversOf(v, id))
 		for _, was := range old.Instances {
 			is, ok := v.Instance(was.ID)
