Drive the dispatch decisions and three baselines in virtual time

The promises of the dispatcher could not be measured. internal/harness runs the real pool code and round robin, least outstanding and prefix affinity with the same arrivals, at twice the capacity with bursts and retries, a slow engine, a lost engine and a replaced dispatcher.

--- /dev/null
+++ b/internal/harness/workload.go
@@ -0,0 +1,153 @@
+package harness
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"briaryard/internal/model"
+)
+
+// Class is one kind of request.
+type Class struct {
+	Tier     model.Tier
+	Share    float64
+	Prompt   [2]int // log-uniform range in tokens
+	Output   [2]int
+	Deadline time.Duration
+	// Prefixes is the number of different shared prefixes, each covering Shared hashes.
+	Prefixes, Shared int
+}
+
+// Workload describes a deployment.
+type Workload struct {
+	Name                        string
+	Engines, Domains, Instances int
+	Delay                       time.Duration
+	Weights                     []float64
+	// Demand is each team's part of the offered load.
+	Demand  []float64
+	Classes []Class
+}
+
+// WorkloadA is the footwear office: urgent chats, fitting notes and summaries.
+func WorkloadA() Workload {
+	return Workload{
+		Name: "A", Engines: 12, Domains: 3, Instances: 12, Delay: 500 * time.Microsecond,
+		Weights: []float64{4, 3, 1, 1, 1}, Demand: []float64{4, 3, 1, 1, 1},
+		Classes: []Class{
+			{model.Urgent, 0.25, [2]int{40, 600}, [2]int{20, 120}, 6 * time.Second, 20, 1},
+			{model.Interactive, 0.25, [2]int{40, 800}, [2]int{30, 200}, 15 * time.Second, 20, 1},
+			{model.Standard, 0.30, [2]int{300, 3000}, [2]int{100, 600}, 40 * time.Second, 10, 2},
+			{model.Batch, 0.20, [2]int{800, 6000}, [2]int{100, 800}, 60 * time.Second, 10, 3},
+		},
+	}
+}
+
+// WorkloadB is the violin workshop: long proposals with shared prefixes, short assessments
+// and streamed chats.
+func WorkloadB() Workload {
+	return Workload{
+		Name: "B", Engines: 9, Domains: 4, Instances: 12, Delay: 1500 * time.Microsecond,
+		Weights: []float64{4, 3, 1, 1, 1}, Demand: []float64{4, 3, 1, 1, 1},
+		Classes: []Class{
+			{model.Urgent, 0.30, [2]int{40, 500}, [2]int{20, 120}, 6 * time.Second, 20, 1},
+			{model.Interactive, 0.35, [2]int{40, 300}, [2]int{10, 60}, 15 * time.Second, 20, 1},
+			{model.Standard, 0.25, [2]int{2500, 8000}, [2]int{300, 1200}, 45 * time.Second, 12, 6},
+			{model.Batch, 0.10, [2]int{2500, 8000}, [2]int{300, 1200}, 70 * time.Second, 12, 6},
+		},
+	}
+}
+
+// Scaled returns the workload with more engines and instances.
+func (w Workload) Scaled(by int) Workload {
+	w.Engines *= by
+	w.Instances *= by
+	return w
+}
+
+const (
+	basePrefill = 6000.0
+	baseDecode  = 900.0
+	slots       = 16
+)
+
+// generationSpeed is the relative speed of the three hardware generations.
+var generationSpeed = [3]float64{1, 1.5, 2.2}
+
+func meanLog(r [2]int) float64 {
+	return float64(r[1]-r[0]) / math.Log(float64(r[1])/float64(r[0]))
+}
+
+// Capacity returns the requests per second that all engines can answer without caches.
+func (w *Workload) Capacity() float64 {
+	work := 0.0
+	for _, c := range w.Classes {
+		decode := baseDecode * slots / (slots + batchConstant)
+		work += c.Share * (meanLog(c.Prompt)/basePrefill + meanLog(c.Output)/decode)
+	}
+	speed := 0.0
+	for i := range w.Engines {
+		speed += generationSpeed[i%3]
+	}
+	return speed / work
+}
+
+// job is a caller's request, with the attempts made for it.
+type job struct {
+	desc   model.Descriptor
+	output int
+	first  time.Time // arrival of the first attempt
+	tries  int
+
+	engine     *engine
+	grant      model.Grant
+	sent       time.Time
+	firstToken time.Time
+	remaining  float64
+	prefilled  float64
+	mark       float64
+	computing  bool
+	over       bool
+}
+
+// draw makes a request of a random class and team.
+func (w *Workload) draw(r *rand.Rand, now time.Time, seq uint64) *job {
+	c := &w.Classes[pickIndex(r, len(w.Classes), func(i int) float64 { return w.Classes[i].Share })]
+	team := pickIndex(r, len(w.Demand), func(i int) float64 { return w.Demand[i] })
+	logUniform := func(b [2]int) int {
+		return int(float64(b[0]) * math.Exp(r.Float64()*math.Log(float64(b[1])/float64(b[0]))))
+	}
+	j := &job{first: now, output: logUniform(c.Output)}
+	j.desc = model.Descriptor{
+		ID:   model.RequestID{Instance: model.InstanceID(fmt.Sprint("i", r.IntN(w.Instances))), Incarnation: 1, Seq: seq},
+		Pool: "m", Team: model.TeamID(fmt.Sprint("t", team)), Tier: c.Tier, Arrived: now,
+		Deadline: now.Add(c.Deadline), PromptTokens: logUniform(c.Prompt),
+		// The caller's bound on the answer is a rough estimate of its length.
+		OutputTokens: int(float64(j.output) * (0.7 + 0.6*r.Float64())),
+	}
+	shared := r.IntN(c.Prefixes)
+	for i := 0; model.PrefixTokens(i) <= j.desc.PromptTokens; i++ {
+		hash := uint64(c.Tier)<<56 | uint64(shared)<<40 | uint64(i)<<32
+		if i >= c.Shared {
+			hash |= seq & 0xffffffff
+		}
+		j.desc.Prefix = append(j.desc.Prefix, hash)
+	}
+	return j
+}
+
+func pickIndex(r *rand.Rand, n int, weight func(int) float64) int {
+	sum := 0.0
+	for i := range n {
+		sum += weight(i)
+	}
+	x := r.Float64() * sum
+	for i := range n {
+		if x -= weight(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
