Grant only what is expected to end well before its deadline

Long proposals were granted when the estimate, shortened by a fifth, met the deadline. Later grants to the same engine slowed them down, so they ended late and their prompt work was lost.

A grant now needs 1.5 times the estimated time to remain.

--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -12,6 +12,9 @@
 	// refusalMargin is the part of the shortest possible time that a request must have left.
 	// Below 1, an estimate that is somewhat high refuses nothing that could still be in time.
 	refusalMargin = 0.8
+	// grantMargin is the error of an estimate that a grant must allow for. Later grants to
+	// the same engine slow the request down, and prompt work spent on a late answer is lost.
+	grantMargin = 1.5
 	// holdInterval is the time after which requests that no open server could answer in time
 	// are tried again.
 	holdInterval = 20 * time.Millisecond
@@ -134,11 +137,11 @@
 func (p *Pool) place(now time.Time, r *request) bool {
 	d := &r.desc
 	output := float64(d.OutputTokens) * p.pace.output[d.Tier]
-	e, inTime, found := p.fleet.Choose(now, d, p.domains[d.ID.Instance], output, d.Deadline.Sub(now))
+	e, inTime, found := p.fleet.Choose(now, d, p.domains[d.ID.Instance], output, time.Duration(float64(d.Deadline.Sub(now))/grantMargin))
 	if !found {
 		return false
 	}
-	if !inTime && !p.worthwhile(now, d, e) {
+	if !inTime {
 		t := &p.tiers[d.Tier]
 		if len(t.held) >= maxHeld {
 			return false
@@ -150,11 +153,6 @@
 	return true
 }
 
-// worthwhile reports whether a request that is expected to end late may still be in time.
-func (p *Pool) worthwhile(now time.Time, d *model.Descriptor, e fleet.Estimate) bool {
-	return now.Add(time.Duration(float64(e.End) * refusalMargin)).Before(d.Deadline)
-}
-
 func (p *Pool) grant(now time.Time, r *request, e fleet.Estimate) {
 	t := &p.tiers[r.desc.Tier]
 	t.charge(r.flow, r.cost)
