Count the prompts of an earlier dispatcher's grants as computed

A new dispatcher counted the whole prompt of every outstanding request as work ahead. The engines' windows in prompt tokens stayed full until those requests ended, seconds after the lease had moved.

Resynced grants now occupy a slot but no prompt tokens, and their first tokens teach no speed.

--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -222,7 +222,7 @@
 	r = p.track(o.Descriptor)
 	r.phase = granted
 	r.grant = o.Grant
-	r.work = p.fleet.Begin(now, &r.desc, o.Grant)
+	r.work = p.fleet.Resume(now, &r.desc, o.Grant)
 	p.outstanding++
 	p.pace.began(now, r.desc.Tier)
 	if r.desc.Key.IsZero() {
--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -129,6 +129,17 @@
 	return w
 }
 
+// Resume counts a request that an earlier dispatcher granted. Its prompt counts as computed:
+// the earlier lease ran out after the grant, which takes longer than most prompts.
+func (f *Fleet) Resume(now time.Time, d *model.Descriptor, g model.Grant) *Work {
+	w := f.Begin(now, d, g)
+	w.started = true
+	w.server.pending -= w.uncached
+	w.server.since -= w.uncached
+	f.refresh(w.server)
+	return w
+}
+
 // Progress takes the course of granted work.
 func (f *Fleet) Progress(w *Work, p model.Progress) {
 	if w == nil || w.ended {
