--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -15,10 +15,6 @@
 	// grantMargin is the error of an estimate that a grant must allow for. Later grants to
 	// the same engine slow the request down, and prompt work spent on a late answer is lost.
 	grantMargin = 1.5
-	// lowestHeadroom is the lowest tier that room is kept for, and maxHeadroom bounds the
-	// part of all windows kept for one tier.
-	lowestHeadroom = model.Urgent
-	maxHeadroom    = 0.2
 	// holdInterval is the time after which requests that no open server could answer in time
 	// are tried again.
 	holdInterval = 20 * time.Millisecond
@@ -110,15 +106,8 @@
 	return p.tiers[first].starts.top().deadlines.top()
 }
 
-// headroom is the room kept free for arrivals of a tier that lower tiers must not use: what
-// the tier has lately had outstanding at most, less what it has now.
-func (p *Pool) headroom(now time.Time, t model.Tier) float64 {
-	if t > lowestHeadroom {
-		return 0
-	}
-	wanted := p.pace.peakNow(now, t) - float64(p.pace.running[t])
-	return min(max(wanted, 0), maxHeadroom*float64(p.fleet.Slots()))
-}
+// headroom is the room kept free for arrivals of a tier that lower tiers must not use.
+func (p *Pool) headroom(time.Time, model.Tier) float64 { return 0 }
 
 // entitled returns a tier below the first that is owed part of its minimum share, if every
 // more urgent request can wait for it without missing its deadline; else -1.
