--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -15,10 +15,6 @@
 	// grantMargin is the error of an estimate that a grant must allow for. Later grants to
 	// the same engine slow the request down, and prompt work spent on a late answer is lost.
 	grantMargin = 1.5
-	// lowDepth is the part of each window that the two lowest tiers may fill. The rest stays
-	// free on every engine for arrivals of the two highest, and a lost or slow engine
-	// spoils fewer long prompts.
-	lowDepth = 0.75
 	// holdInterval is the time after which requests that no open server could answer in time
 	// are tried again.
 	holdInterval = 20 * time.Millisecond
@@ -140,12 +136,8 @@
 // reports whether to go on.
 func (p *Pool) place(now time.Time, r *request) bool {
 	d := &r.desc
-	depth := 1.0
-	if d.Tier >= model.Standard {
-		depth = lowDepth
-	}
 	output := float64(d.OutputTokens) * p.pace.output[d.Tier]
-	e, inTime, found := p.fleet.Choose(now, d, p.domains[d.ID.Instance], output, depth, time.Duration(float64(d.Deadline.Sub(now))/grantMargin))
+	e, inTime, found := p.fleet.Choose(now, d, p.domains[d.ID.Instance], output, time.Duration(float64(d.Deadline.Sub(now))/grantMargin))
 	if !found {
 		return false
 	}
--- a/internal/decide/fleet/choose.go
+++ b/internal/decide/fleet/choose.go
@@ -37,10 +37,10 @@
 	score    float64
 }
 
-// Choose returns the server that, with its window filled no further than depth, is expected to answer first, and whether it is
+// Choose returns the server with room that is expected to answer first, and whether it is
 // expected to end within the limit. It returns false in found when no window has room.
-func (f *Fleet) Choose(now time.Time, d *model.Descriptor, domain model.FailureDomain, output, depth float64, limit time.Duration) (e Estimate, inTime, found bool) {
-	f.collect(now, d, domain, output, depth)
+func (f *Fleet) Choose(now time.Time, d *model.Descriptor, domain model.FailureDomain, output float64, limit time.Duration) (e Estimate, inTime, found bool) {
+	f.collect(now, d, domain, output)
 	if len(f.candidates) == 0 {
 		return Estimate{}, false, false
 	}
@@ -77,32 +77,29 @@
 	return a
 }
 
-func (f *Fleet) collect(now time.Time, d *model.Descriptor, domain model.FailureDomain, output, depth float64) {
+func (f *Fleet) collect(now time.Time, d *model.Descriptor, domain model.FailureDomain, output float64) {
 	f.candidates = f.candidates[:0]
 	if len(f.open) <= scanLimit {
 		for _, s := range f.open {
-			f.consider(now, s, d, domain, output, depth)
+			f.consider(now, s, d, domain, output)
 		}
 		return
 	}
 	for range sampleSize {
-		f.consider(now, f.open[f.random.IntN(len(f.open))], d, domain, output, depth)
+		f.consider(now, f.open[f.random.IntN(len(f.open))], d, domain, output)
 	}
 	affine := 0
 	for i := len(d.Prefix) - 1; i >= 0 && affine < maxAffine; i-- {
 		for _, e := range f.prefixes.holders[d.Prefix[i]] {
 			if e.server.open >= 0 && affine < maxAffine {
 				affine++
-				f.consider(now, e.server, d, domain, output, depth)
+				f.consider(now, e.server, d, domain, output)
 			}
 		}
 	}
 }
 
-func (f *Fleet) consider(now time.Time, s *server, d *model.Descriptor, domain model.FailureDomain, output, depth float64) {
-	if s.inFlight > 0 && float64(s.inFlight) >= depth*float64(s.window()) {
-		return
-	}
+func (f *Fleet) consider(now time.Time, s *server, d *model.Descriptor, domain model.FailureDomain, output float64) {
 	e := estimate(now, s, d, domain, output)
 	score := (e.FirstToken + e.End).Seconds() / 2
 	if s.plain() {
