--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -63,6 +63,58 @@
 	})
 }
 
+// Guards against one team that takes the goodput of the others by sending 20 times its share.
+func TestLargeTeam(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w harness.Workload, seed uint64) {
+		sc := harness.Scenario{Load: 0.9, Length: 120 * time.Second}
+		calm := harness.Run("briaryard", fleet.NewGradient, w, sc, seed)
+		// Only the last team, a tenth of the demand, sends more; all else is drawn the same.
+		sc.Extra = 20
+		busy := harness.Run("briaryard", fleet.NewGradient, w, sc, seed)
+		was, is := others(calm, w), others(busy, w)
+		t.Logf("goodput of the other teams %.2f%% alone, %.2f%% beside the large one", 100*was, 100*is)
+		if is < 0.99*was {
+			t.Errorf("goodput of the other teams %.2f%%, want at least 99%% of %.2f%%", 100*is, 100*was)
+		}
+	})
+}
+
+// others returns the goodput of all teams but the last.
+func others(r *harness.Result, w harness.Workload) float64 {
+	var sum harness.TierResult
+	for i := range len(w.Demand) - 1 {
+		if team := r.Teams[model.TeamID(fmt.Sprint("t", i))]; team != nil {
+			sum.Good += team.Good
+			sum.Offered += team.Offered
+		}
+	}
+	return sum.Ratio()
+}
+
+// Guards against goodput or waste that depend on the number of instances and servers.
+func TestTenTimesTheSize(t *testing.T) {
+	for _, w := range []harness.Workload{harness.WorkloadA(), harness.WorkloadB()} {
+		sc := overload
+		var cost [2]time.Duration
+		for i, by := range []int{1, 10} {
+			start := time.Now()
+			r := harness.Run("briaryard", fleet.NewGradient, w.Scaled(by), sc, 1)
+			offered := 0
+			for tier := range r.Tiers {
+				offered += r.Tiers[tier].Offered
+			}
+			cost[i] = time.Since(start) / time.Duration(offered)
+			t.Logf("%d times: %s for each offered request\n%s", by, cost[i], r)
+			if got := r.Tiers[model.Urgent].Ratio(); got < 0.99 {
+				t.Errorf("%s at %d times: top-tier goodput %.2f%%, want at least 99%%", w.Name, by, 100*got)
+			}
+			if w.Name == "B" && r.Wasted() > 0.02*r.Prefill {
+				t.Errorf("B at %d times: wasted prefill %.2f%%, want at most 2%%", by, 100*r.Wasted()/r.Prefill)
+			}
+		}
+	}
+}
+
 // Compares the control laws; prints only.
 func TestCompareLaws(t *testing.T) {
 	if !testing.Verbose() {
--- a/internal/harness/run.go
+++ b/internal/harness/run.go
@@ -35,6 +35,8 @@
 	Load             float64
 	Length           time.Duration
 	Slow, Lost, Kill time.Duration
+	// Extra is the factor by which the last team exceeds its demand; 0 means 1.
+	Extra float64
 }
 
 type run struct {
@@ -122,7 +124,16 @@
 
 // script schedules arrivals, reports and failures.
 func (r *run) script() {
-	r.nextArrival()
+	r.nextArrival(r.random, 1, "")
+	if r.scenario.Extra > 1 {
+		demand, sum := r.workload.Demand, 0.0
+		for _, d := range demand {
+			sum += d
+		}
+		// A separate source leaves the other arrivals as they are without the extra ones.
+		last := len(demand) - 1
+		r.nextArrival(rand.New(rand.NewPCG(r.seed, 2)), (r.scenario.Extra-1)*demand[last]/sum, model.TeamID(fmt.Sprint("t", last)))
+	}
 	r.every(tick, func() { r.policy.tick() })
 	r.every(reportInterval, r.reports)
 	at := func(d time.Duration, f func()) {
@@ -143,19 +154,23 @@
 }
 
 // nextArrival draws arrivals with bursts of three times the mean for 1.5 s in each 10 s.
-func (r *run) nextArrival() {
-	rate := r.scenario.Load * r.workload.Capacity()
+// With a team, all of them are that team's.
+func (r *run) nextArrival(random *rand.Rand, factor float64, team model.TeamID) {
+	rate := factor * r.scenario.Load * r.workload.Capacity()
 	if r.clock.now.Sub(r.start)%(10*time.Second) < 1500*time.Millisecond {
 		rate *= 3
 	} else {
 		rate *= (1 - 0.15*3) / 0.85
 	}
-	r.clock.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), func() {
+	r.clock.after(time.Duration(random.ExpFloat64()/rate*float64(time.Second)), func() {
 		r.seq++
-		j := r.workload.draw(r.random, r.clock.now, r.seq)
+		j := r.workload.draw(random, r.clock.now, r.seq)
+		if team != "" {
+			j.desc.Team = team
+		}
 		r.result.offer(r, j)
 		r.submit(j)
-		r.nextArrival()
+		r.nextArrival(random, factor, team)
 	})
 }
 
