Grant to the least served team when another is far ahead

A team at 20 times its share sent urgent and interactive requests that went before the lower tiers of all other teams. Shares within a tier cannot stop that. The pool now counts use over all tiers, and a team more than 2 s of throughput ahead yields to the least served waiting team. The top tier does not yield, and shedding stays strict by tier.

--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -103,7 +103,7 @@
 	if lower := p.entitled(now, first, free); lower >= 0 {
 		first = lower
 	}
-	return p.tiers[first].starts.top().deadlines.top()
+	return p.fairer(p.tiers[first].starts.top().deadlines.top())
 }
 
 // headroom is the room kept free for arrivals of a tier that lower tiers must not use.
@@ -156,6 +156,7 @@
 func (p *Pool) grant(now time.Time, r *request, e fleet.Estimate) {
 	t := &p.tiers[r.desc.Tier]
 	t.charge(r.flow, r.cost)
+	p.usages.charge(r.desc.Team, float64(r.cost)/r.flow.weight)
 	p.credit(r)
 	p.dequeue(r)
 	r.phase = granted
--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"briaryard/internal/decide/fleet"
@@ -32,6 +34,9 @@
 	keys      map[model.KeyHash]*request
 	tiers     [model.TierCount]tierOrder
 	memory    memory
+	usages    usages
+	// totalWeight is the sum of the declared weights.
+	totalWeight float64
 	// tokens is the cost of all waiting requests.
 	tokens      int64
 	following   int
@@ -62,6 +67,7 @@
 		instances:  make(map[model.InstanceID]*request),
 		keys:       make(map[model.KeyHash]*request),
 		memory:     newMemory(),
+		usages:     newUsages(),
 		pace:       newPace(),
 		expected:   make(map[model.InstanceID]struct{}),
 	}
@@ -90,6 +96,10 @@
 		p.maxTokens = int64(pool.MaxWaiting) * tokensPerWaiting
 	}
 	p.teams, p.defaultTeam, p.minimum = c.Teams, c.DefaultTeam, c.MinimumShare
+	p.totalWeight = 0
+	for _, id := range slices.Sorted(maps.Keys(c.Teams)) {
+		p.totalWeight += p.weight(id)
+	}
 	for i := range p.tiers {
 		p.tiers[i].reweigh(p.weight)
 	}
--- a/internal/decide/dispatch/track.go
+++ b/internal/decide/dispatch/track.go
@@ -54,6 +54,7 @@
 	t := &p.tiers[r.desc.Tier]
 	t.insert(r, p.weight(r.desc.Team))
 	p.tokens += r.cost
+	p.usages.enter(r.desc.Team)
 }
 
 // dequeue takes a request out of the order, if it is there.
@@ -63,6 +64,7 @@
 	}
 	p.tiers[r.desc.Tier].remove(r)
 	p.tokens -= r.cost
+	p.usages.leave(r.desc.Team)
 }
 
 // evict emits an eviction of a request that has been dropped.
--- /dev/null
+++ b/internal/decide/dispatch/usage.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import "briaryard/internal/model"
+
+// usageLead is the time, in seconds of the pool's throughput, by which a team may be ahead
+// of the least served waiting team. It covers bursts: a team within its share is rarely
+// ahead by more.
+const usageLead = 2
+
+// usage is what a team has used over all tiers, as virtual time. Shares within a tier do
+// not stop a team that sends everything in high tiers, so that lower tiers of the others
+// never run. Usage changes the order of grants only; shedding stays strict by tier.
+type usage struct {
+	team    model.TeamID
+	start   float64
+	waiting int
+	index   int
+}
+
+// usages orders the teams that wait by what they have used.
+type usages struct {
+	teams   map[model.TeamID]*usage
+	order   heap[*usage]
+	virtual float64
+}
+
+func newUsages() usages {
+	return usages{
+		teams: make(map[model.TeamID]*usage),
+		order: heap[*usage]{
+			key:   func(u *usage) float64 { return u.start },
+			less:  func(a, b *usage) bool { return a.team < b.team },
+			place: func(u *usage, i int) { u.index = i },
+		},
+	}
+}
+
+func (s *usages) enter(team model.TeamID) {
+	u := s.teams[team]
+	if u == nil {
+		u = &usage{team: team, index: -1}
+		s.teams[team] = u
+	}
+	if u.waiting++; u.waiting == 1 {
+		u.start = max(u.start, s.virtual)
+		s.order.push(u)
+	}
+}
+
+func (s *usages) leave(team model.TeamID) {
+	u := s.teams[team]
+	if u.waiting--; u.waiting == 0 {
+		s.order.remove(u.index)
+		if u.start <= s.virtual {
+			delete(s.teams, team)
+		}
+	}
+}
+
+// charge accounts a grant to a team that waits.
+func (s *usages) charge(team model.TeamID, virtual float64) {
+	s.virtual = max(s.virtual, s.order.top().start)
+	u := s.teams[team]
+	u.start += virtual
+	s.order.fix(u.index)
+}
+
+// fairer returns the request to grant instead of one of a team that is far ahead of the
+// least served team: that team's most urgent request. The top tier is never put back.
+func (p *Pool) fairer(r *request) *request {
+	if r.desc.Tier == model.Urgent || p.pace.rate == 0 || p.totalWeight == 0 {
+		return r
+	}
+	least := p.usages.order.top()
+	if p.usages.teams[r.desc.Team].start-least.start <= usageLead*p.pace.rate/p.totalWeight {
+		return r
+	}
+	for i := range p.tiers {
+		if f := p.tiers[i].flows[least.team]; f != nil && f.deadlines.len() > 0 {
+			return f.deadlines.top()
+		}
+	}
+	return r
+}
