Let windows react only when the generation's speed is known

A new dispatcher compared first answers with a reference made from one or two samples and shrank windows for no cause. Windows now stay at the announced slots until 20 answers of the hardware generation have arrived.

--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -178,7 +178,9 @@
 	}
 	s.speed.addPrefill(sample, serverRate*weight)
 	s.generation.addPrefill(sample, generationRate*weight)
-	s.law.Observe(Observation{Ratio: expected / took.Seconds(), InFlight: s.inFlight})
+	if s.generation.prefillSamples >= enoughSamples {
+		s.law.Observe(Observation{Ratio: expected / took.Seconds(), InFlight: s.inFlight})
+	}
 }
 
 func (f *Fleet) perToken(s *server, w *Work, took time.Duration) {
@@ -189,7 +191,9 @@
 	}
 	s.speed.addUnit(sample, serverRate)
 	s.generation.addUnit(sample, generationRate)
-	s.law.Observe(Observation{Ratio: ratio, InFlight: s.inFlight})
+	if s.generation.unitSamples >= enoughSamples {
+		s.law.Observe(Observation{Ratio: ratio, InFlight: s.inFlight})
+	}
 }
 
 // reference is the prompt cost of a healthy server of the generation.
--- a/internal/decide/fleet/speed.go
+++ b/internal/decide/fleet/speed.go
@@ -7,6 +7,9 @@
 	// follows within a few answers; the generation's speed is the long-term reference.
 	serverRate     = 0.3
 	generationRate = 0.02
+	// enoughSamples is the number of answers of a generation before its speed is a reference
+	// for windows. A new dispatcher knows no speeds, and its first samples vary widely.
+	enoughSamples = 20
 	// fullSampleTokens is the prompt work at which a first-token sample has full weight.
 	// Shorter prompts measure fixed overhead more than speed.
 	fullSampleTokens = 256
