Let windows tolerate answers at half the expected speed

First-token times vary by up to two with other prompts on the engine, and the gradient law shrank windows of healthy engines. An engine at a quarter of its speed is still outside the tolerance of 2 instead of 1.5.

--- a/internal/decide/fleet/law.go
+++ b/internal/decide/fleet/law.go
@@ -24,8 +24,8 @@
 
 const (
 	// tolerance is the slowdown that counts as normal variation: estimates of prompts that
-	// share an engine with others are off by up to half.
-	tolerance = 1.5
+	// share an engine with others are off by up to a factor of two.
+	tolerance = 2
 	// lowestGradient bounds the decrease for one answer, because one slow answer may have
 	// waited behind a single long prompt.
 	lowestGradient = 0.5
