--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -14,7 +14,7 @@
 	refusalMargin = 0.8
 	// grantMargin is the error of an estimate that a grant must allow for. Later grants to
 	// the same engine slow the request down, and prompt work spent on a late answer is lost.
-	grantMargin = 1.5
+	grantMargin = 1.8
 	// holdInterval is the time after which requests that no open server could answer in time
 	// are tried again.
 	holdInterval = 20 * time.Millisecond
