Test window reaction and trust in cache entries

Guards against a window that stays open on an engine at a quarter of its speed, and against full trust in cached prefixes after lost events.

--- /dev/null
+++ b/internal/decide/fleet/fleet_test.go
@@ -0,0 +1,61 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"briaryard/internal/decide/fleet"
+	"briaryard/internal/model"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// answer runs one request of 1,000 prompt tokens alone on a server.
+func answer(f *fleet.Fleet, server model.BackendServerID, seq uint64, first time.Duration) {
+	d := &model.Descriptor{ID: model.RequestID{Seq: seq}, PromptTokens: 1000, OutputTokens: 100}
+	w := f.Begin(start, d, model.Grant{Request: d.ID, Server: server, Incarnation: 1})
+	f.Progress(w, model.Progress{Kind: model.ProgressFirstToken, FirstToken: first})
+	f.Progress(w, model.Progress{Kind: model.ProgressFinished})
+}
+
+func pair() *fleet.Fleet {
+	f := fleet.New(fleet.NewGradient, 1)
+	f.Set([]model.BackendServer{
+		{ID: "a", Incarnation: 1, Slots: 16, Generation: "g"}, {ID: "b", Incarnation: 1, Slots: 16, Generation: "g"},
+	})
+	return f
+}
+
+// Guards against a window that stays open when an engine slows to a quarter of its speed.
+func TestWindowShrinksWithinFewAnswers(t *testing.T) {
+	g := NewWithT(t)
+	f := pair()
+	for i := range uint64(40) {
+		answer(f, "a", i, 200*time.Millisecond)
+	}
+	g.Expect(f.Slots()).To(Equal(32))
+	for i := range uint64(5) {
+		answer(f, "a", 100+i, 800*time.Millisecond)
+	}
+	g.Expect(f.Slots()).To(BeNumerically("<=", 16+4))
+}
+
+// Guards against full trust in cache entries after cache events were lost.
+func TestGapInEventsHalvesTrust(t *testing.T) {
+	g := NewWithT(t)
+	f := pair()
+	f.Set([]model.BackendServer{{ID: "a", Incarnation: 1, Slots: 16}})
+	d := &model.Descriptor{PromptTokens: 1000, Prefix: []uint64{7}}
+	saved := func() int {
+		e, _, _ := f.Choose(start, d, "", 1, time.Hour)
+		return e.Saved
+	}
+	f.Cache(model.CacheEvent{Server: "a", Incarnation: 1, Seq: 1, Prefix: 7, Tokens: 64})
+	g.Expect(saved()).To(Equal(64))
+	f.Cache(model.CacheEvent{Server: "a", Incarnation: 1, Seq: 3, Prefix: 8, Tokens: 64})
+	g.Expect(saved()).To(Equal(32))
+	f.Cache(model.CacheEvent{Server: "a", Incarnation: 1, Seq: 4, Evicted: true, Prefix: 7})
+	g.Expect(saved()).To(BeZero())
+}
