Send one prompt at a time to a server of unknown speed

A new dispatcher does not know which engine is slow and sent it several urgent requests before its first answer. A server without a measured first token now gets its next prompt after the first token of the one before.

--- a/internal/decide/fleet/server.go
+++ b/internal/decide/fleet/server.go
@@ -79,7 +79,12 @@
 	if s.room() == 0 {
 		return false
 	}
-	return s.plain() || s.pending == 0 || float64(s.pending)*s.prefillCost() < prefillDepth
+	if s.plain() || s.pending == 0 {
+		return true
+	}
+	// A server of unknown speed gets one prompt at a time: a new dispatcher cannot tell a
+	// slow engine from the others before its first answer.
+	return s.speed.prefillSamples > 0 && float64(s.pending)*s.prefillCost() < prefillDepth
 }
 
 // queued estimates the prompt tokens that the engine has yet to compute: the stale report
