--- /dev/null
+++ b/internal/harness/harness_test.go
@@ -0,0 +1,140 @@
+package harness_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"briaryard/internal/decide/fleet"
+	"briaryard/internal/harness"
+	"briaryard/internal/model"
+)
+
+var seeds = flag.Int("seeds", 20, "number of seeds, from 1")
+
+var overload = harness.Scenario{
+	Load: 2, Length: 140 * time.Second, Slow: 20 * time.Second, Lost: 35 * time.Second, Kill: 52 * time.Second,
+}
+
+// eachSeed runs a check for both workloads and every seed.
+func eachSeed(t *testing.T, check func(t *testing.T, w harness.Workload, seed uint64)) {
+	for _, w := range []harness.Workload{harness.WorkloadA(), harness.WorkloadB()} {
+		for seed := range *seeds {
+			t.Run(fmt.Sprintf("%s/seed=%d", w.Name, seed+1), func(t *testing.T) {
+				t.Parallel()
+				check(t, w, uint64(seed+1))
+			})
+		}
+	}
+}
+
+// Guards against overload, a slow engine, a lost engine and a new dispatcher costing the
+// top tier its goodput, the fleet its goodput, or prompt work thrown away.
+func TestOverload(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w harness.Workload, seed uint64) {
+		own := harness.Run("briaryard", fleet.NewGradient, w, overload, seed)
+		t.Log(own)
+		best, least := 0, 0.0
+		for i, name := range harness.Policies[1:] {
+			b := harness.Run(name, nil, w, overload, seed)
+			t.Log(b)
+			best = max(best, b.Goodput())
+			if i == 0 || b.Wasted() < least {
+				least = b.Wasted()
+			}
+		}
+		if got := own.Tiers[model.Urgent].Ratio(); got < 0.99 {
+			t.Errorf("top-tier goodput %.2f%%, want at least 99%%", 100*got)
+		}
+		if own.Goodput() < best {
+			t.Errorf("goodput %d, best baseline %d", own.Goodput(), best)
+		}
+		if own.Wasted() > least/3 {
+			t.Errorf("wasted prefill %.0f, best baseline %.0f", own.Wasted(), least)
+		}
+		if w.Name == "B" && own.Wasted() > 0.02*own.Prefill {
+			t.Errorf("wasted prefill %.2f%%, want at most 2%%", 100*own.Wasted()/own.Prefill)
+		}
+		before, after := harness.Quantile(own.Before, 0.99), harness.Quantile(own.After, 0.99)
+		if after > before+time.Second {
+			t.Errorf("p99 first token %s in the 5 s after the loss of the dispatcher, %s before", after, before)
+		}
+	})
+}
+
+// Guards against one team that takes the goodput of the others by sending 20 times its share.
+func TestLargeTeam(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w harness.Workload, seed uint64) {
+		sc := harness.Scenario{Load: 0.9, Length: 120 * time.Second}
+		calm := harness.Run("briaryard", fleet.NewGradient, w, sc, seed)
+		// Only the last team, a tenth of the demand, sends more; all else is drawn the same.
+		sc.Extra = 20
+		busy := harness.Run("briaryard", fleet.NewGradient, w, sc, seed)
+		was, is := others(calm, w), others(busy, w)
+		t.Logf("goodput of the other teams %.2f%% alone, %.2f%% beside the large one", 100*was, 100*is)
+		if is < 0.99*was {
+			t.Errorf("goodput of the other teams %.2f%%, want at least 99%% of %.2f%%", 100*is, 100*was)
+		}
+	})
+}
+
+// others returns the goodput of all teams but the last.
+func others(r *harness.Result, w harness.Workload) float64 {
+	var sum harness.TierResult
+	for i := range len(w.Demand) - 1 {
+		if team := r.Teams[model.TeamID(fmt.Sprint("t", i))]; team != nil {
+			sum.Good += team.Good
+			sum.Offered += team.Offered
+		}
+	}
+	return sum.Ratio()
+}
+
+// Guards against goodput or waste that depend on the number of instances and servers.
+func TestTenTimesTheSize(t *testing.T) {
+	for _, w := range []harness.Workload{harness.WorkloadA(), harness.WorkloadB()} {
+		sc := overload
+		var cost [2]time.Duration
+		for i, by := range []int{1, 10} {
+			start := time.Now()
+			r := harness.Run("briaryard", fleet.NewGradient, w.Scaled(by), sc, 1)
+			offered := 0
+			for tier := range r.Tiers {
+				offered += r.Tiers[tier].Offered
+			}
+			cost[i] = time.Since(start) / time.Duration(offered)
+			t.Logf("%d times: %s for each offered request\n%s", by, cost[i], r)
+			if got := r.Tiers[model.Urgent].Ratio(); got < 0.99 {
+				t.Errorf("%s at %d times: top-tier goodput %.2f%%, want at least 99%%", w.Name, by, 100*got)
+			}
+			if w.Name == "B" && r.Wasted() > 0.02*r.Prefill {
+				t.Errorf("B at %d times: wasted prefill %.2f%%, want at most 2%%", by, 100*r.Wasted()/r.Prefill)
+			}
+		}
+	}
+}
+
+// Compares the control laws; prints only.
+func TestCompareLaws(t *testing.T) {
+	if !testing.Verbose() {
+		t.Skip("prints a comparison; run with -v")
+	}
+	laws := map[string]fleet.NewLaw{"gradient": fleet.NewGradient, "aimd": fleet.NewAIMD, "fixed": fleet.NewFixed}
+	for name, law := range laws {
+		for _, w := range []harness.Workload{harness.WorkloadA(), harness.WorkloadB()} {
+			good, top, wasted, prefill := 0, 1.0, 0.0, 0.0
+			var pause time.Duration
+			for seed := range *seeds {
+				r := harness.Run("briaryard", law, w, overload, uint64(seed+1))
+				good += r.Goodput()
+				top = min(top, r.Tiers[model.Urgent].Ratio())
+				pause = max(pause, harness.Quantile(r.After, 0.99)-harness.Quantile(r.Before, 0.99))
+				wasted += r.Wasted()
+				prefill += r.Prefill
+			}
+			t.Logf("%s %-8s good %d, worst top tier %.2f%%, wasted %.2f%%, worst pause %s",
+				w.Name, name, good, 100*top, 100*wasted/prefill, pause.Round(time.Millisecond))
+		}
+	}
+}
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -188,6 +188,7 @@
 	s.pools[id] = p
 	s.log.Emit(event.DispatcherStarted, id, epoch)
 	p.decide.SetConfig(now, s.config)
+	p.decide.SetInstances(s.view.Instances)
 	p.decide.SetServers(now, serversOf(s.view, id))
 	s.ask(now, id, p)
 }
@@ -236,6 +237,7 @@
 	defer s.setLeases(now, s.table)
 	for id, p := range s.pools {
 		s.askNew(old, id, p)
+		p.decide.SetInstances(v.Instances)
 		p.decide.SetServers(now, serversOf(v, id))
 		for _, was := range old.Instances {
 			is, ok := v.Instance(was.ID)
