Shorten dispatcher leases and let a lapsed dispatcher grant

Cause: the dispatcher's lease of 900 ms took nearly all of the 1 s that the loss of a dispatcher may cost the top tier, and every election of the control group stopped all grants. Change: leases last 500 ms, holders renew every 125 ms. A dispatcher whose lease has lapsed without news of another holder goes on granting for the confirmation limit and sheds nothing: another one grants only after every instance follows it, and instances follow the highest epoch.

--- a/internal/decide/controlcall/effect.go
+++ b/internal/decide/controlcall/effect.go
@@ -32,7 +32,15 @@
 
 // PublishLeases publishes the lease table. A lease that this instance holds no longer, by
 // its own clock, has no holder.
-type PublishLeases struct{ Leases []state.Lease }
+type PublishLeases struct{ Leases []Lease }
+
+// Lease is a lease as this instance may act on it.
+type Lease struct {
+	state.Lease
+	// Lapsed is set on a lease that is held here and whose time has run out without news of
+	// another holder.
+	Lapsed bool
+}
 
 // PublishConfig publishes an accepted configuration. Its revision is above every earlier one.
 type PublishConfig struct{ Config state.AcceptedConfig }
--- a/internal/decide/controlcall/heartbeat.go
+++ b/internal/decide/controlcall/heartbeat.go
@@ -12,9 +12,9 @@
 	"briaryard/internal/model"
 )
 
-// keptBeats is the number of sent heartbeats whose answers still count. At four a second it
+// keptBeats is the number of sent heartbeats whose answers still count. At eight a second it
 // covers more than the confirmation limit.
-const keptBeats = 32
+const keptBeats = 64
 
 type sentBeat struct {
 	at       time.Time
@@ -32,7 +32,7 @@
 	// listed it in its present epoch. The lease lasts from then.
 	renewed map[string]time.Time
 	// published is the table as subscribers know it.
-	published   []state.Lease
+	published   []Lease
 	publishedAt time.Time
 	// revision is in force here, offered is the last published one.
 	revision model.Revision
@@ -107,6 +107,20 @@
 	return m.mine(l) && !m.beats.stopping && now.Sub(m.beats.renewed[l.Name]) < own
 }
 
+// lapsed reports whether the time of a lease held here has run out and no news of another
+// holder can have been missed for longer than the confirmation limit.
+func (m *Machine) lapsed(now time.Time, l state.Lease) bool {
+	return m.mine(l) && !m.beats.stopping && now.Sub(m.beats.renewed[l.Name]) < m.options.ConfirmWithin
+}
+
+// interval returns the time between heartbeats, which is shorter while a lease is held.
+func (m *Machine) interval() time.Duration {
+	if slices.ContainsFunc(m.table(), m.mine) {
+		return m.options.HolderInterval
+	}
+	return m.options.HeartbeatInterval
+}
+
 func (m *Machine) beat(now time.Time) {
 	b := &m.beats
 	b.sentAt = now
@@ -125,7 +139,7 @@
 
 func (m *Machine) tickBeats(now time.Time) {
 	b := &m.beats
-	if now.Sub(b.sentAt) >= m.options.HeartbeatInterval {
+	if now.Sub(b.sentAt) >= m.interval() {
 		m.beat(now)
 	}
 	m.publishLeases(now)
@@ -209,11 +223,17 @@
 // in case a subscriber's ring was full.
 func (m *Machine) publishLeases(now time.Time) {
 	b := &m.beats
-	table := m.table()
-	for i, l := range table {
-		if l.Holder == m.options.Self && !m.acting(now, l) {
-			table[i].Holder, table[i].Incarnation = "", 0
+	var table []Lease
+	for _, l := range m.table() {
+		held := Lease{Lease: l}
+		switch {
+		case l.Holder != m.options.Self || m.acting(now, l):
+		case m.lapsed(now, l):
+			held.Lapsed = true
+		default:
+			held.Holder, held.Incarnation = "", 0
 		}
+		table = append(table, held)
 	}
 	if slices.Equal(table, b.published) && now.Sub(b.publishedAt) < m.options.HeartbeatInterval {
 		return
--- a/internal/decide/controlcall/machine.go
+++ b/internal/decide/controlcall/machine.go
@@ -40,6 +40,8 @@
 	// Voters lists the instances to ask before the first answer names the current ones.
 	Voters            []model.InstanceID
 	HeartbeatInterval time.Duration
+	// HolderInterval applies instead while a lease is held here.
+	HolderInterval time.Duration
 	// Lease holds the time limits that the leader also has.
 	Lease session.Options
 	// ConfirmWithin is the time without confirmation after which the instance withdraws.
--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -47,7 +47,9 @@
 			break
 		}
 	}
-	p.shed()
+	if !p.lapsed {
+		p.shed()
+	}
 }
 
 // lastUseful returns the last time at which a grant could still meet the deadline.
--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -19,6 +19,7 @@
 
 // Pool orders the waiting requests of one pool.
 type Pool struct {
+	lapsed      bool
 	id          model.PoolID
 	epoch       model.Epoch
 	maxWaiting  int
@@ -89,6 +90,15 @@
 	return len(p.requests) - p.outstanding - p.following, p.outstanding
 }
 
+// SetLapsed states whether the lease has run out without news of another holder. A lapsed
+// dispatcher still grants: another one grants nothing before every instance follows it, and
+// an instance that follows another takes no grant from this one. It sheds nothing, because
+// two orders at once could shed a request that is more urgent than one that is kept.
+func (p *Pool) SetLapsed(now time.Time, lapsed bool) {
+	p.lapsed = lapsed
+	p.decide(now)
+}
+
 // SetConfig takes the pool's and the teams' declarations.
 func (p *Pool) SetConfig(now time.Time, c *model.Config) {
 	if pool, ok := c.Pools[p.id]; ok && pool.MaxWaiting > 0 {
--- a/internal/harness/run.go
+++ b/internal/harness/run.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"briaryard/internal/port"
 	"cmp"
 	"fmt"
 	"maps"
@@ -26,8 +27,9 @@
 	// goneDelay is the time until the membership removes a lost engine.
 	goneDelay = 2 * time.Second
 	tick      = 20 * time.Millisecond
-	// leaseTime is the lease plus the election of a new holder.
-	leaseTime = 950 * time.Millisecond
+	// leaseTime is the longest time without a dispatcher: the lease with clock drift, a tick
+	// of the control leader, and the heartbeat that tells the next holder.
+	leaseTime = port.LeaseDuration*(100+port.MaxClockDrift)/100 + 50*time.Millisecond + port.HeartbeatInterval
 )
 
 // Scenario is what happens in a run besides the load. Zero times mean never.
--- a/internal/port/control.go
+++ b/internal/port/control.go
@@ -26,6 +26,9 @@
 	Name   string
 	Holder model.InstanceID
 	Epoch  model.Epoch
+	// Lapsed is set when this instance holds the lease and can no longer be sure that it
+	// does. It may go on with what does no harm beside another holder.
+	Lapsed bool
 }
 
 // ControlClient sends commands to the control group.
--- a/internal/port/controlmsg.go
+++ b/internal/port/controlmsg.go
@@ -69,10 +69,13 @@
 
 const (
 	// LeaseDuration is how long a lease lasts without renewal. A dead dispatcher holds its
-	// pool up for this long plus the rebuild, so it must stay well below the second that
-	// urgent requests can spare.
-	LeaseDuration = 900 * time.Millisecond
-	// HeartbeatInterval lets two heartbeats be lost before a lease runs out.
+	// pool up for this long, a heartbeat of the next holder and the rebuild, which together
+	// must stay below the second that urgent requests can spare.
+	LeaseDuration = 500 * time.Millisecond
+	// HolderInterval is the interval of heartbeats of an instance that holds a lease; three
+	// can be lost before the lease runs out.
+	HolderInterval = 125 * time.Millisecond
+	// HeartbeatInterval is the interval of the other instances.
 	HeartbeatInterval = 250 * time.Millisecond
 	// ConfirmWithin is the time without a confirmed configuration after which an instance
 	// withdraws. The promise allows 5 s from acceptance to everywhere.
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -104,7 +104,7 @@
 	now := time.Now()
 	r.machine = controlcall.New(now, controlcall.Options{
 		Self: self, Incarnation: incarnation, Voters: r.voters,
-		HeartbeatInterval: port.HeartbeatInterval, ConfirmWithin: r.within,
+		HeartbeatInterval: port.HeartbeatInterval, HolderInterval: port.HolderInterval, ConfirmWithin: r.within,
 		Lease: session.Options{LeaseDuration: port.LeaseDuration, DriftPercent: port.MaxClockDrift},
 	})
 	r.onTick(now)
@@ -253,10 +253,10 @@
 	d.reply(port.ControlReply{Result: a.Result, Err: a.Err})
 }
 
-func (r *Remote) publishLeases(table []state.Lease) {
+func (r *Remote) publishLeases(table []controlcall.Lease) {
 	out := make([]port.Lease, 0, len(table))
 	for _, l := range table {
-		out = append(out, port.Lease{Name: l.Name, Holder: l.Holder, Epoch: l.Epoch})
+		out = append(out, port.Lease{Name: l.Name, Holder: l.Holder, Epoch: l.Epoch, Lapsed: l.Lapsed})
 	}
 	for _, sink := range r.leases {
 		sink(out)
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -157,22 +157,25 @@
 
 // setLeases starts and stops pools to match the leases held here.
 func (s *Service) setLeases(now time.Time, all []port.Lease) {
-	held := make(map[model.PoolID]model.Epoch)
+	held := make(map[model.PoolID]port.Lease)
 	for _, l := range all {
 		if id, ok := port.LeasePool(l.Name); ok && l.Holder == s.self {
-			held[id] = l.Epoch
+			held[id] = l
 		}
 	}
 	for id, p := range s.pools {
-		if held[id] != p.epoch {
+		l, ok := held[id]
+		if !ok || l.Epoch != p.epoch {
 			delete(s.pools, id)
 			s.log.Emit(event.DispatcherStopped, id, p.epoch)
+			continue
 		}
+		p.decide.SetLapsed(now, l.Lapsed)
 	}
-	for id, epoch := range held {
+	for id, l := range held {
 		// Before the view is settled an instance with waiting requests may be missing.
-		if s.pools[id] == nil && s.view.Settled {
-			s.startPool(now, id, epoch)
+		if s.pools[id] == nil && s.view.Settled && !l.Lapsed {
+			s.startPool(now, id, l.Epoch)
 		}
 	}
 }
