Keep the prefix index from using a negative position

Cause: the proving run killed every dispatcher in turn: with more than eight holders of a prefix, a hash above the largest signed number gave a negative index, and the duty panicked. Change: the position is computed without a sign. The proving run prints the stacks of duties that panicked. Result: a test with 20 servers fails before and passes after.

--- a/internal/decide/fleet/fleet_test.go
+++ b/internal/decide/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -59,3 +60,23 @@
 	f.Cache(model.CacheEvent{Server: "a", Incarnation: 1, Seq: 4, Evicted: true, Prefix: 7})
 	g.Expect(saved()).To(BeZero())
 }
+
+// Guards against a crash when more servers hold a prefix than are remembered: hashes above
+// the largest signed number gave a negative index.
+func TestPrefixOnManyServers(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.NewGradient, 1)
+	var servers []model.BackendServer
+	for i := range 20 {
+		servers = append(servers, model.BackendServer{ID: model.BackendServerID(rune('a' + i)), Incarnation: 1, Slots: 4})
+	}
+	f.Set(servers)
+	for n, hash := range []uint64{1, 1 << 63, math.MaxUint64, math.MaxUint64 - 1, 0xa94cedfcb376eca4} {
+		for _, s := range servers {
+			f.Cache(model.CacheEvent{Server: s.ID, Incarnation: 1, Seq: uint64(n + 1), Prefix: hash, Tokens: 64})
+		}
+		d := &model.Descriptor{PromptTokens: 1000, Prefix: []uint64{hash}}
+		e, _, _ := f.Choose(start, d, "", 1, time.Hour)
+		g.Expect(e.Saved).To(Equal(64))
+	}
+}
--- a/internal/decide/fleet/prefix.go
+++ b/internal/decide/fleet/prefix.go
@@ -66,7 +66,7 @@
 	if len(held) < maxHolders {
 		p.holders[hash] = append(held, e)
 	} else {
-		held[int(hash+uint64(len(c.byHash)))%maxHolders] = e
+		held[(hash+uint64(len(c.byHash)))%maxHolders] = e
 	}
 	for c.tokens > c.capacity() && c.tail != nil {
 		p.remove(c.tail)
--- a/internal/proving/process_test.go
+++ b/internal/proving/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -62,6 +63,7 @@
 		p.kill()
 		if CurrentSpecReport().Failed() {
 			AddReportEntry(name, tail(p.out.String()))
+			AddReportEntry(name+" panics", panics(p.out.String()))
 		}
 	})
 	return p
@@ -73,6 +75,17 @@
 	return text[max(0, len(text)-keep):]
 }
 
+// panics returns the events of duties that panicked, with their stacks.
+func panics(text string) string {
+	var found []string
+	for line := range strings.Lines(text) {
+		if strings.Contains(line, `"duty.panicked"`) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "")
+}
+
 func (p *process) run() {
 	p.cmd = exec.Command(binary, p.args...)
 	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
