--- a/internal/decide/state/claims.go
+++ b/internal/decide/state/claims.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"slices"
 	"time"
 
 	"briaryard/internal/fault"
@@ -38,12 +37,14 @@
 // claims holds the claims. Invariant: a key leaves the state held only for finished,
 // unknown or, when it provably did not run, for no claim at all.
 type claims struct {
-	byKey map[model.KeyHash]*ClaimRecord
-	// held lists the held claims of each owner, so that a death touches only its own.
-	held map[Owner]map[model.KeyHash]struct{}
-	// finished lists finished claims, oldest first; kept is the part that still has answers.
-	finished    []model.KeyHash
-	kept        []model.KeyHash
+	table table
+	// held lists the slots of each owner's held claims, so that a death touches only its own.
+	held map[Owner]map[uint32]struct{}
+	// finished lists the slots of finished claims, oldest first; kept is the part that still
+	// has answers, in the same order. Views share finished and barrierAge, so both are only
+	// appended to and cut at the front.
+	finished    []uint32
+	kept        []uint32
 	answerBytes int
 	barriers    map[model.KeyHash]Barrier
 	// barrierAge lists barriers, oldest first. It also holds replaced barriers until compact.
@@ -55,15 +56,15 @@
 
 func newClaims() claims {
 	return claims{
-		byKey:    make(map[model.KeyHash]*ClaimRecord),
-		held:     make(map[Owner]map[model.KeyHash]struct{}),
+		table:    newTable(),
+		held:     make(map[Owner]map[uint32]struct{}),
 		barriers: make(map[model.KeyHash]Barrier),
 	}
 }
 
 func (c *claims) lookup(l Lookup) Result {
-	r, ok := c.byKey[l.Key]
-	if !ok {
+	r, _ := c.table.find(l.Key)
+	if r == nil {
 		return Result{Claim: ClaimNone}
 	}
 	return r.result(l.Fingerprint)
@@ -77,7 +78,7 @@
 }
 
 func (c *claims) claim(cmd Claim, limits Limits) Result {
-	if r, ok := c.byKey[cmd.Key]; ok {
+	if r, _ := c.table.find(cmd.Key); r != nil {
 		if r.Request == cmd.Request && r.Status == ClaimHeld {
 			return Result{Claim: ClaimWon}
 		}
@@ -86,25 +87,25 @@
 	if cmd.SeenIndex < max(c.floor, c.barriers[cmd.Key].Index) {
 		return Result{Claim: ClaimSuperseded}
 	}
-	if len(c.byKey) >= limits.Claims {
+	if c.table.len() >= limits.Claims {
 		return Result{Claim: ClaimFull, Err: &fault.ClaimsFull{Limit: limits.Claims}}
 	}
-	c.hold(&ClaimRecord{Key: cmd.Key, Fingerprint: cmd.Fingerprint, Request: cmd.Request, Status: ClaimHeld})
+	c.hold(ClaimRecord{Key: cmd.Key, Fingerprint: cmd.Fingerprint, Request: cmd.Request, Status: ClaimHeld})
 	return Result{Claim: ClaimWon}
 }
 
-func (c *claims) hold(r *ClaimRecord) {
-	c.byKey[r.Key] = r
+func (c *claims) hold(r ClaimRecord) {
+	slot := c.table.add(r)
 	o := Owner{r.Request.Instance, r.Request.Incarnation}
 	if c.held[o] == nil {
-		c.held[o] = make(map[model.KeyHash]struct{})
+		c.held[o] = make(map[uint32]struct{})
 	}
-	c.held[o][r.Key] = struct{}{}
+	c.held[o][slot] = struct{}{}
 }
 
-func (c *claims) unhold(r *ClaimRecord) {
+func (c *claims) unhold(r *ClaimRecord, slot uint32) {
 	o := Owner{r.Request.Instance, r.Request.Incarnation}
-	delete(c.held[o], r.Key)
+	delete(c.held[o], slot)
 	if len(c.held[o]) == 0 {
 		delete(c.held, o)
 	}
@@ -113,65 +114,71 @@
 // finish records the outcome. An unknown claim may still become finished, because only
 // the attempt that ran can know its answer.
 func (c *claims) finish(cmd Finish, index uint64, now time.Time, limits Limits) Result {
-	r, ok := c.byKey[cmd.Key]
-	if !ok || r.Request != cmd.Request {
+	r, slot := c.table.find(cmd.Key)
+	if r == nil || r.Request != cmd.Request {
 		return Result{Claim: ClaimNone}
 	}
 	if r.Status == ClaimFinished {
 		return Result{Claim: ClaimFinished, Answer: r.Answer}
 	}
-	c.unhold(r)
+	c.unhold(r, slot)
+	r = c.table.edit(slot)
 	r.Status = ClaimFinished
 	r.FinishedAt = now
 	r.FinishedIndex = index
-	c.finished = append(c.finished, r.Key)
+	c.finished = append(c.finished, slot)
 	if cmd.Answer != nil && len(cmd.Answer.Body) <= limits.AnswerBytes {
 		r.Answer = cmd.Answer
-		c.kept = append(c.kept, r.Key)
+		c.kept = append(c.kept, slot)
 		c.answerBytes += len(cmd.Answer.Body)
 	}
+	answer := r.Answer
 	for c.answerBytes > limits.TotalAnswerBytes {
-		c.dropAnswer(c.kept[0])
-		c.kept = c.kept[1:]
+		if c.kept[0] == slot {
+			answer = nil
+		}
+		c.dropOldestAnswer()
 	}
-	return Result{Claim: ClaimFinished, Answer: r.Answer}
+	return Result{Claim: ClaimFinished, Answer: answer}
 }
 
-func (c *claims) dropAnswer(key model.KeyHash) {
-	if r, ok := c.byKey[key]; ok && r.Answer != nil {
-		c.answerBytes -= len(r.Answer.Body)
-		r.Answer = nil
-	}
+// dropOldestAnswer forgets the oldest kept answer; its claim stays.
+func (c *claims) dropOldestAnswer() {
+	r := c.table.edit(c.kept[0])
+	c.kept = c.kept[1:]
+	c.answerBytes -= len(r.Answer.Body)
+	r.Answer = nil
 }
 
 // abandon makes a held claim unknown.
 func (c *claims) abandon(cmd Abandon) Result {
-	r, ok := c.byKey[cmd.Key]
-	if !ok || r.Request != cmd.Request {
+	r, slot := c.table.find(cmd.Key)
+	if r == nil || r.Request != cmd.Request {
 		return Result{Claim: ClaimNone}
 	}
 	if r.Status == ClaimHeld {
-		c.unhold(r)
+		c.unhold(r, slot)
+		r = c.table.edit(slot)
 		r.Status = ClaimUnknown
 	}
 	return Result{Claim: r.Status, Answer: r.Answer}
 }
 
 func (c *claims) release(cmd Release, index uint64, now time.Time, limits Limits) Result {
-	r, ok := c.byKey[cmd.Key]
-	if ok && (r.Request != cmd.Request || r.Status != ClaimHeld) {
+	r, slot := c.table.find(cmd.Key)
+	if r != nil && (r.Request != cmd.Request || r.Status != ClaimHeld) {
 		return Result{Claim: r.Status, Answer: r.Answer}
 	}
-	if ok {
-		c.unhold(r)
-		delete(c.byKey, cmd.Key)
+	if r != nil {
+		c.unhold(r, slot)
+		c.table.remove(slot)
 	}
 	c.setBarrier(Barrier{Key: cmd.Key, Index: index, At: now}, limits)
 	return Result{Claim: ClaimNone}
 }
 
 func (c *claims) refuse(cmd Refuse, index uint64, now time.Time, limits Limits) Result {
-	if r, ok := c.byKey[cmd.Key]; ok {
+	if r, _ := c.table.find(cmd.Key); r != nil {
 		return Result{Claim: r.Status, Answer: r.Answer}
 	}
 	c.setBarrier(Barrier{Key: cmd.Key, Index: index, At: now}, limits)
@@ -204,17 +211,23 @@
 	if len(c.barrierAge) <= 2*len(c.barriers)+slack {
 		return
 	}
-	c.barrierAge = slices.DeleteFunc(c.barrierAge, func(b Barrier) bool { return c.barriers[b.Key] != b })
+	current := make([]Barrier, 0, len(c.barriers)+len(c.barriers)/4)
+	for _, b := range c.barrierAge {
+		if c.barriers[b.Key] == b {
+			current = append(current, b)
+		}
+	}
+	c.barrierAge = current
 }
 
 // ownerDead makes the claims of dead incarnations unknown.
 func (c *claims) ownerDead(cmd OwnerDead) {
-	for o, keys := range c.held {
+	for o, slots := range c.held {
 		if o.Instance != cmd.Instance || o.Incarnation > cmd.Incarnation {
 			continue
 		}
-		for key := range keys {
-			c.byKey[key].Status = ClaimUnknown
+		for slot := range slots {
+			c.table.edit(slot).Status = ClaimUnknown
 		}
 		delete(c.held, o)
 	}
@@ -224,17 +237,18 @@
 // unknown claims never expire.
 func (c *claims) expire(now time.Time, limits Limits) {
 	for len(c.finished) > 0 {
-		r := c.byKey[c.finished[0]]
+		slot := c.finished[0]
+		r := c.table.at(slot)
 		if now.Sub(r.FinishedAt) <= limits.Retention {
 			break
 		}
-		c.dropAnswer(r.Key)
-		delete(c.byKey, r.Key)
-		c.finished = c.finished[1:]
 		c.floor = max(c.floor, r.FinishedIndex)
-	}
-	for len(c.kept) > 0 && c.byKey[c.kept[0]] == nil {
-		c.kept = c.kept[1:]
+		if r.Answer != nil {
+			// Both lists have the same order, so this claim's answer is the oldest kept one.
+			c.dropOldestAnswer()
+		}
+		c.table.remove(slot)
+		c.finished = c.finished[1:]
 	}
 	for len(c.barrierAge) > 0 && now.Sub(c.barrierAge[0].At) > limits.BarrierRetention {
 		c.dropBarrier()
--- a/internal/decide/state/claims_test.go
+++ b/internal/decide/state/claims_test.go
@@ -37,6 +37,9 @@
 	attempts []*attempt
 	// notRun is the index of the last not_run answer for each key.
 	notRun map[model.KeyHash]uint64
+	// view was taken when the content was viewed.
+	view   *state.View
+	viewed state.Export
 }
 
 func smallLimits() state.Limits {
@@ -175,8 +178,17 @@
 	m.machine = restored
 }
 
+// View takes a view that must stay as it is, whatever the machine does next.
+func (m *claimsMachine) View(*rapid.T) {
+	m.view = m.machine.View()
+	m.viewed = m.view.Export()
+}
+
 // Check implements rapid.StateMachine.
 func (m *claimsMachine) Check(t *rapid.T) {
+	if m.view != nil && !reflect.DeepEqual(m.view.Export(), m.viewed) {
+		t.Fatal("a view changed")
+	}
 	if m.machine.ClaimCount() > m.limits.Claims {
 		t.Fatalf("%d claims are above the limit", m.machine.ClaimCount())
 	}
--- a/internal/decide/state/export.go
+++ b/internal/decide/state/export.go
@@ -1,11 +1,6 @@
 package state
 
-import (
-	"bytes"
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Export is the whole content of a Machine as plain values, for a snapshot. Two equal
 // machines have equal exports.
@@ -32,73 +27,83 @@
 
 // Export returns the content. It shares answers and contents with the machine, which never
 // changes them in place.
-func (m *Machine) Export() Export {
-	e := Export{
-		Applied: m.applied, Now: m.now, Floor: m.claims.floor,
-		Config:  m.configs.current,
-		Changes: slices.Clone(m.configs.history), Refused: slices.Clone(m.configs.refused),
-	}
-	for _, r := range m.claims.byKey {
-		if r.Status != ClaimFinished {
-			e.Claims = append(e.Claims, *r)
-		}
-	}
-	slices.SortFunc(e.Claims, func(a, b ClaimRecord) int { return bytes.Compare(a.Key[:], b.Key[:]) })
-	for _, key := range m.claims.finished {
-		e.Claims = append(e.Claims, *m.claims.byKey[key])
-	}
-	for _, b := range m.claims.barrierAge {
-		if m.claims.barriers[b.Key] == b {
-			e.Barriers = append(e.Barriers, b)
-		}
-	}
-	for _, l := range m.leases {
-		e.Leases = append(e.Leases, l)
-	}
-	slices.SortFunc(e.Leases, func(a, b Lease) int { return cmp.Compare(a.Name, b.Name) })
-	return e
-}
+func (m *Machine) Export() Export { return m.View().Export() }
 
 // Import returns a machine with the content of an export. The limits must be those of the
 // machine that was exported.
 func Import(e Export, limits Limits) (*Machine, error) {
-	if reason := e.fault(limits); reason != "" {
-		return nil, &InvalidExportError{Reason: reason}
+	im := NewImporter(limits)
+	for _, r := range e.Claims {
+		im.Claim(r)
 	}
-	m := NewMachine(limits)
-	m.applied, m.now, m.claims.floor = e.Applied, e.Now, e.Floor
-	for i := range e.Claims {
-		if reason := m.claims.restore(&e.Claims[i]); reason != "" {
-			return nil, &InvalidExportError{Reason: reason}
-		}
+	for _, b := range e.Barriers {
+		im.Barrier(b)
+	}
+	return im.Machine(e)
+}
+
+// Importer builds a machine from the parts of an export, so that its claims and barriers need
+// not be in memory twice.
+type Importer struct {
+	machine *Machine
+	reason  string
+}
+
+// NewImporter returns an importer without content.
+func NewImporter(limits Limits) *Importer { return &Importer{machine: NewMachine(limits)} }
+
+func (im *Importer) check(reason string) {
+	if im.reason == "" {
+		im.reason = reason
 	}
-	if m.claims.answerBytes > limits.TotalAnswerBytes {
-		return nil, &InvalidExportError{Reason: "too many bytes of answers"}
+}
+
+// Claim adds the next claim in the order of Export.Claims.
+func (im *Importer) Claim(r ClaimRecord) {
+	c := &im.machine.claims
+	if c.table.len() >= im.machine.limits.Claims {
+		im.check("too many claims")
+		return
 	}
-	for _, b := range e.Barriers {
-		if _, twice := m.claims.barriers[b.Key]; twice {
-			return nil, &InvalidExportError{Reason: "two barriers for one key"}
-		}
-		m.claims.setBarrier(b, limits)
+	im.check(c.restore(r))
+	if c.answerBytes > im.machine.limits.TotalAnswerBytes {
+		im.check("too many bytes of answers")
 	}
-	if reason := m.configs.restore(e, limits); reason != "" {
-		return nil, &InvalidExportError{Reason: reason}
+}
+
+// Barrier adds the next barrier in the order of Export.Barriers.
+func (im *Importer) Barrier(b Barrier) {
+	c := &im.machine.claims
+	if _, twice := c.barriers[b.Key]; twice {
+		im.check("two barriers for one key")
+	}
+	if len(c.barriers) >= im.machine.limits.Barriers {
+		im.check("too many barriers")
+		return
 	}
-	for _, l := range e.Leases {
+	c.setBarrier(b, im.machine.limits)
+}
+
+// Machine adds the other parts of the export and returns the machine.
+func (im *Importer) Machine(rest Export) (*Machine, error) {
+	m := im.machine
+	im.check(rest.fault(m.limits))
+	m.applied, m.now, m.claims.floor = rest.Applied, rest.Now, rest.Floor
+	im.check(m.configs.restore(rest, m.limits))
+	for _, l := range rest.Leases {
 		if _, twice := m.leases[l.Name]; twice {
-			return nil, &InvalidExportError{Reason: "two leases with one name"}
+			im.check("two leases with one name")
 		}
 		m.leases[l.Name] = l
 	}
+	if im.reason != "" {
+		return nil, &InvalidExportError{Reason: im.reason}
+	}
 	return m, nil
 }
 
 func (e *Export) fault(limits Limits) string {
 	switch {
-	case len(e.Claims) > limits.Claims:
-		return "too many claims"
-	case len(e.Barriers) > limits.Barriers:
-		return "too many barriers"
 	case len(e.Changes) > limits.Changes || len(e.Refused) > limits.Changes:
 		return "too many changes"
 	case len(e.Leases) > limits.Leases:
@@ -109,8 +114,8 @@
 	return ""
 }
 
-func (c *claims) restore(r *ClaimRecord) string {
-	if _, twice := c.byKey[r.Key]; twice {
+func (c *claims) restore(r ClaimRecord) string {
+	if _, twice := c.table.slots[r.Key]; twice {
 		return "two claims for one key"
 	}
 	switch {
@@ -118,13 +123,13 @@
 		c.hold(r)
 		return ""
 	case r.Status == ClaimUnknown && r.Answer == nil:
-		c.byKey[r.Key] = r
+		c.table.add(r)
 		return ""
 	case r.Status == ClaimFinished:
-		c.byKey[r.Key] = r
-		c.finished = append(c.finished, r.Key)
+		slot := c.table.add(r)
+		c.finished = append(c.finished, slot)
 		if r.Answer != nil {
-			c.kept = append(c.kept, r.Key)
+			c.kept = append(c.kept, slot)
 			c.answerBytes += len(r.Answer.Body)
 		}
 		return ""
--- a/internal/decide/state/machine.go
+++ b/internal/decide/state/machine.go
@@ -31,15 +31,25 @@
 	Leases int
 }
 
-// DefaultLimits are the limits of a control group.
+// DefaultLimits are the limits of a control group. They keep a voter below the 256 MB that one
+// node may spend on control. At the limits, a claim takes about 0.21 KB (record 128 bytes, key
+// and slot, owner or answer header), a barrier 0.15 KB, and each claim about 0.1 KB in an encoded
+// snapshot, of which there are two while one replaces the other:
+//
+//	state      80,000 claims 17 MB + answers 6 MB + 20,000 barriers 3 MB = 26 MB
+//	snapshots  2 * (80,000 claims 8 MB + answers 6 MB + barriers 1 MB)   = 30 MB
+//	rest       entries of the log and messages, about 45 MB under load
+//
+// The garbage collector lets the heap grow to twice what is in use. BenchmarkSnapshotAtLimits of
+// the control service measured 203 MB at most, start included.
 func DefaultLimits() Limits {
 	return Limits{
-		Claims:           1_000_000,
+		Claims:           80_000,
 		AnswerBytes:      256 << 10,
-		TotalAnswerBytes: 256 << 20,
+		TotalAnswerBytes: 6 << 20,
 		Retention:        24 * time.Hour,
 		BarrierRetention: time.Hour,
-		Barriers:         1_000_000,
+		Barriers:         20_000,
 		Changes:          10_000,
 		Leases:           4096,
 	}
@@ -134,7 +144,7 @@
 func (m *Machine) Leases() map[string]Lease { return m.leases }
 
 // ClaimCount returns the number of claims.
-func (m *Machine) ClaimCount() int { return len(m.claims.byKey) }
+func (m *Machine) ClaimCount() int { return m.claims.table.len() }
 
 // Owners returns the owners of held claims by instance and incarnation.
 func (m *Machine) Owners() []Owner {
--- /dev/null
+++ b/internal/decide/state/view.go
@@ -0,0 +1,102 @@
+package state
+
+import (
+	"bytes"
+	"cmp"
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"briaryard/internal/model"
+)
+
+// View is the content of a Machine at one log index. It may be read by another duty while the
+// machine goes on: what they share is replaced by the machine and never changed in place.
+type View struct {
+	Applied uint64
+	Now     time.Time
+	Floor   uint64
+	Config  AcceptedConfig
+	// Changes and Refused list accepted and refused changes, oldest first.
+	Changes []Change
+	Refused []RefusedChange
+
+	pages    []*page
+	finished []uint32
+	barriers []Barrier
+	leases   map[string]Lease
+}
+
+// View returns the present content. Its cost grows with the number of pages and leases, not
+// with the claims.
+func (m *Machine) View() *View {
+	c := &m.claims
+	return &View{
+		Applied: m.applied, Now: m.now, Floor: c.floor, Config: m.configs.current,
+		Changes: m.configs.history, Refused: m.configs.refused,
+		pages: c.table.view(), finished: c.finished, barriers: c.barrierAge, leases: maps.Clone(m.leases),
+	}
+}
+
+// Claims returns held and unknown claims by key, then finished claims, oldest first.
+func (v *View) Claims() iter.Seq[*ClaimRecord] {
+	return func(yield func(*ClaimRecord) bool) {
+		for _, r := range v.open() {
+			if !yield(r) {
+				return
+			}
+		}
+		for _, slot := range v.finished {
+			if !yield(&v.pages[slot/pageSize].records[slot%pageSize]) {
+				return
+			}
+		}
+	}
+}
+
+// open returns the claims that are not finished by key.
+func (v *View) open() []*ClaimRecord {
+	var open []*ClaimRecord
+	for _, p := range v.pages {
+		for i := range p.records {
+			if s := p.records[i].Status; s == ClaimHeld || s == ClaimUnknown {
+				open = append(open, &p.records[i])
+			}
+		}
+	}
+	slices.SortFunc(open, func(a, b *ClaimRecord) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	return open
+}
+
+// Barriers returns the barriers, oldest first. Of the barriers of one key the last is in force.
+func (v *View) Barriers() []Barrier {
+	seen := make(map[model.KeyHash]struct{}, len(v.barriers))
+	var out []Barrier
+	for _, b := range slices.Backward(v.barriers) {
+		if _, replaced := seen[b.Key]; !replaced {
+			seen[b.Key] = struct{}{}
+			out = append(out, b)
+		}
+	}
+	slices.Reverse(out)
+	return out
+}
+
+// Leases returns all leases by name.
+func (v *View) Leases() []Lease {
+	return slices.SortedFunc(maps.Values(v.leases), func(a, b Lease) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Export returns the content as plain values.
+func (v *View) Export() Export {
+	e := Export{
+		Applied: v.Applied, Now: v.Now, Floor: v.Floor, Config: v.Config,
+		Changes: slices.Clone(v.Changes), Refused: slices.Clone(v.Refused),
+		Barriers: v.Barriers(), Leases: v.Leases(),
+	}
+	for r := range v.Claims() {
+		e.Claims = append(e.Claims, *r)
+	}
+	return e
+}
--- a/internal/service/control/bench_test.go
+++ b/internal/service/control/bench_test.go
@@ -13,6 +13,7 @@
 	"briaryard/internal/decide/consensus"
 	"briaryard/internal/decide/state"
 	"briaryard/internal/model"
+	"briaryard/internal/service/control"
 	"briaryard/internal/storage"
 	"briaryard/internal/wire/consensuswire"
 )
@@ -83,8 +84,7 @@
 					b.Fatal(err)
 				}
 				b.StopTimer()
-				// The context ends the wait for a handover, which a lone voter cannot do.
-				ctx, cancel := context.WithCancel(context.Background())
+				ctx, cancel := stopped()
 				cancel()
 				_ = g.voters["v0"].kernel.Stop(ctx)
 				b.StartTimer()
@@ -94,28 +94,44 @@
 	}
 }
 
-func prepareFolder(b *testing.B, dir string, entries int) {
-	b.Helper()
+// loneMembers is the membership of the single voter of a prepared folder.
+var loneMembers = consensus.Membership{Members: []consensus.MemberRecord{{Member: consensus.Member{Instance: "v0", Folder: 1}}}}
+
+// stopped ends the wait for a handover, which a lone voter cannot do.
+func stopped() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx, cancel
+}
+
+// newFolder returns the empty log of a new folder of the voter v0.
+func newFolder(tb testing.TB, dir string) *storage.Log {
+	tb.Helper()
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	id, err := consensuswire.EncodeIdentity(consensuswire.Identity{Instance: "v0", Folder: 1})
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	if err := storage.WriteAtomic(storage.OS{}, filepath.Join(dir, "identity"), id); err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	l, err := storage.Open(storage.OS{}, dir, func([]byte) error { return nil })
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
-	members := consensus.Membership{Members: []consensus.MemberRecord{{Member: consensus.Member{Instance: "v0", Folder: 1}}}}
+	return l
+}
+
+func prepareFolder(b *testing.B, dir string, entries int) {
+	b.Helper()
+	l := newFolder(b, dir)
 	batch := &consensus.Batch{
-		Hard: &consensus.HardState{Group: 1, Term: 1}, Snapshot: &consensus.Snapshot{Index: 1, Term: 1, Members: members}, Reset: true,
+		Hard: &consensus.HardState{Group: 1, Term: 1}, Snapshot: &consensus.Snapshot{Index: 1, Term: 1, Members: loneMembers}, Reset: true,
 	}
 	for i := range entries {
-		data, err := gobCodecs{}.EncodeCommand(state.Claim{Key: model.HashKey("team", fmt.Sprint(i))})
+		data, err := control.WireCodecs{}.EncodeCommand(state.Claim{Key: model.HashKey("team", fmt.Sprint(i))})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/service/control/duty.go
+++ b/internal/service/control/duty.go
@@ -163,23 +163,6 @@
 	s.wakeAwaits(c)
 }
 
-// compact replaces the log by a snapshot when it has grown long.
-func (s *Service) compact(now time.Time) {
-	if s.logged < compactEntries && s.logBytes < compactBytes {
-		return
-	}
-	index := s.machine.Applied()
-	data, err := s.codecs.EncodeSnapshot(s.machine)
-	s.logged, s.logBytes = 0, 0
-	if err != nil {
-		s.log.Emit(event.ControlEntryUnreadable, index, err)
-		return
-	}
-	s.node.Compact(index, data)
-	s.compacted = index
-	s.log.Emit(event.ControlSnapshot, index, len(data), time.Since(now))
-}
-
 // noteRole acts on the beginning and the end of leadership.
 func (s *Service) noteRole(now time.Time) {
 	st := s.node.Status()
--- a/internal/service/control/harness_test.go
+++ b/internal/service/control/harness_test.go
@@ -1,9 +1,7 @@
 package control_test
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"fmt"
 	"log/slog"
 	"path/filepath"
@@ -101,49 +99,6 @@
 	return h.sink(port.PeerMessage{From: p.self, Incarnation: 1, Body: body})
 }
 
-// gobCodecs stand in for the control codecs. They cannot encode snapshots.
-type gobCodecs struct{}
-
-type box struct{ Value any }
-
-func init() {
-	for _, v := range []any{state.Claim{}, state.Finish{}, state.Lookup{}, state.Await{}, port.CommandRequest{}, port.Heartbeat{}} {
-		gob.Register(v)
-	}
-}
-
-func (gobCodecs) Encode(body any) ([]byte, error) {
-	var b bytes.Buffer
-	err := gob.NewEncoder(&b).Encode(box{body})
-	return b.Bytes(), err
-}
-
-func (gobCodecs) Decode(data []byte) (any, error) {
-	var v box
-	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&v)
-	return v.Value, err
-}
-
-func (g gobCodecs) EncodeCommand(c state.Command) ([]byte, error) { return g.Encode(c) }
-
-func (g gobCodecs) DecodeCommand(data []byte) (state.Command, error) {
-	v, err := g.Decode(data)
-	if err != nil {
-		return nil, err
-	}
-	return v.(state.Command), nil
-}
-
-func (gobCodecs) EncodeSnapshot(*state.Machine) ([]byte, error) {
-	return nil, fmt.Errorf("no snapshots")
-}
-
-func (gobCodecs) DecodeSnapshot([]byte, state.Limits) (*state.Machine, error) {
-	return nil, fmt.Errorf("no snapshots")
-}
-
-func (g gobCodecs) Messages() port.Codec { return g }
-
 type noSessions struct{}
 
 func (noSessions) Begin(time.Time) {}
@@ -187,7 +142,7 @@
 	v.kernel = kernel.New(func(err error) { g.t.Error(err) })
 	v.service = control.New(control.Settings{
 		Self: id, Folder: v.folder, Initial: g.initial, Limits: state.DefaultLimits(), Files: g.files[id],
-	}, gobCodecs{}, noSessions{}, event.New(slog.New(slog.NewTextHandler(g.t.Output(), nil))))
+	}, control.WireCodecs{}, noSessions{}, event.New(slog.New(slog.NewTextHandler(g.t.Output(), nil))))
 	for _, s := range []kernel.Service{g.hub.join(id), v.service} {
 		if err := v.kernel.Register(s); err != nil {
 			return err
--- a/internal/service/control/service.go
+++ b/internal/service/control/service.go
@@ -40,9 +40,12 @@
 	ring     *ring.Ring[message]
 	syncs    *ring.Ring[job]
 	reports  *ring.Ring[report]
-	duties   []*kernel.Duty
-	failure  atomic.Pointer[fault.VoterFailed]
-	status   atomic.Pointer[consensus.Status]
+	// captures and encodings join the control duty and the snapshot duty.
+	captures  *ring.Ring[capture]
+	encodings *ring.Ring[encoded]
+	duties    []*kernel.Duty
+	failure   atomic.Pointer[fault.VoterFailed]
+	status    atomic.Pointer[consensus.Status]
 
 	// folder belongs to the sync duty once that has started.
 	folder *folder
@@ -62,6 +65,8 @@
 	logged    int
 	logBytes  int
 	compacted uint64
+	// capturing is set while a capture is at the snapshot duty.
+	capturing bool
 }
 
 // New returns the service.
@@ -71,9 +76,11 @@
 	}
 	return &Service{
 		set: set, codecs: codecs, sessions: sessions, log: log,
-		ring:    ring.New[message]("control", controlCapacity, ring.Refuse),
-		syncs:   ring.New[job]("sync", syncCapacity, ring.Block),
-		reports: ring.New[report]("sync-reports", 1, ring.ReplaceOldest),
+		ring:      ring.New[message]("control", controlCapacity, ring.Refuse),
+		syncs:     ring.New[job]("sync", syncCapacity, ring.Block),
+		reports:   ring.New[report]("sync-reports", 1, ring.ReplaceOldest),
+		captures:  ring.New[capture]("snapshot", 1, ring.Refuse),
+		encodings: ring.New[encoded]("snapshot-reports", 1, ring.ReplaceOldest),
 	}
 }
 
@@ -110,6 +117,7 @@
 		s.node.Status().Last, stored.Snapshot.Index, time.Since(began))
 	s.duties = append(s.duties,
 		h.Go("sync", s.runSync, s.syncs),
+		h.Go("snapshot", s.runSnapshot, s.captures),
 		h.Go("control", func(ctx context.Context, d *kernel.Duty) {
 			kernel.Loop[message]{Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick}.Run(ctx, d)
 		}, s.ring))
@@ -148,6 +156,7 @@
 	for i := len(s.duties) - 1; i >= 0; i-- {
 		s.duties[i].End()
 	}
+	s.captures.Close()
 	s.syncs.Close()
 	return s.folder.log.Close()
 }
--- a/internal/service/control/settings.go
+++ b/internal/service/control/settings.go
@@ -49,7 +49,8 @@
 type Codecs interface {
 	EncodeCommand(c state.Command) ([]byte, error)
 	DecodeCommand(data []byte) (state.Command, error)
-	EncodeSnapshot(m *state.Machine) ([]byte, error)
+	// EncodeSnapshot is called by the snapshot duty.
+	EncodeSnapshot(v *state.View) ([]byte, error)
 	DecodeSnapshot(data []byte, limits state.Limits) (*state.Machine, error)
 	// Messages is the codec of messages between instances and voters.
 	Messages() port.Codec
--- a/internal/service/control/wire.go
+++ b/internal/service/control/wire.go
@@ -18,8 +18,8 @@
 }
 
 // EncodeSnapshot implements Codecs.
-func (WireCodecs) EncodeSnapshot(m *state.Machine) ([]byte, error) {
-	return controlwire.EncodeSnapshot(m)
+func (WireCodecs) EncodeSnapshot(v *state.View) ([]byte, error) {
+	return controlwire.EncodeSnapshot(v)
 }
 
 // DecodeSnapshot implements Codecs.
--- a/internal/storage/frame.go
+++ b/internal/storage/frame.go
@@ -22,12 +22,16 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 func appendFrame(buf []byte, number uint64, payload []byte) []byte {
-	var head [frameHeader]byte
+	head := frameHead(number, payload)
+	return append(append(buf, head[:]...), payload...)
+}
+
+func frameHead(number uint64, payload []byte) (head [frameHeader]byte) {
 	binary.LittleEndian.PutUint32(head[0:], frameMagic)
 	binary.LittleEndian.PutUint32(head[4:], uint32(len(payload)))
 	binary.LittleEndian.PutUint64(head[8:], number)
 	binary.LittleEndian.PutUint32(head[16:], checksum(head[4:16], payload))
-	return append(append(buf, head[:]...), payload...)
+	return head
 }
 
 func checksum(head, payload []byte) uint32 {
--- a/internal/storage/fs.go
+++ b/internal/storage/fs.go
@@ -96,16 +96,19 @@
 	return f.Close()
 }
 
-// WriteAtomic replaces a file so that a crash leaves either the old or the new content.
-func WriteAtomic(fs FS, name string, data []byte) error {
+// WriteAtomic replaces a file so that a crash leaves either the old or the new content, which
+// is given in parts.
+func WriteAtomic(fs FS, name string, parts ...[]byte) error {
 	tmp := name + tempSuffix
 	f, err := fs.Create(tmp)
 	if err != nil {
 		return &WriteError{File: tmp, Op: "create", Err: err}
 	}
-	if _, err := f.Write(data); err != nil {
-		_ = f.Close()
-		return &WriteError{File: tmp, Op: "write", Err: err}
+	for _, data := range parts {
+		if _, err := f.Write(data); err != nil {
+			_ = f.Close()
+			return &WriteError{File: tmp, Op: "write", Err: err}
+		}
 	}
 	if err := f.Sync(); err != nil {
 		_ = f.Close()
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -12,7 +12,8 @@
 // WriteSnapshot stores a snapshot under its index. Older ones stay until RemoveSnapshots.
 func WriteSnapshot(fs FS, dir string, index uint64, data []byte) error {
 	name := filepath.Join(dir, fmt.Sprintf("%s%016x", snapshotPrefix, index))
-	return WriteAtomic(fs, name, appendFrame(nil, index, data))
+	head := frameHead(index, data)
+	return WriteAtomic(fs, name, head[:], data)
 }
 
 // ReadSnapshot returns the snapshot with an index.
--- a/internal/wire/controlwire/snapshot.go
+++ b/internal/wire/controlwire/snapshot.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
 	"briaryard/internal/decide/state"
 	"briaryard/internal/model"
 	"briaryard/internal/wire/controlpb"
@@ -25,49 +28,139 @@
 	return min(size, math.MaxInt32)
 }
 
-// EncodeSnapshot returns the whole state in the form of a snapshot file. It holds a copy of
-// the state in memory while it runs.
-func EncodeSnapshot(m *state.Machine) ([]byte, error) {
-	e := m.Export()
-	s := &controlpb.Snapshot{
-		Applied: e.Applied, Now: toNanos(e.Now), Floor: e.Floor,
-		Config: configToPB(e.Config), Leases: leasesToPB(e.Leases),
+// Field numbers of controlpb.Snapshot.
+const (
+	fieldApplied protowire.Number = iota + 1
+	fieldNow
+	fieldFloor
+	fieldClaims
+	fieldBarriers
+	fieldConfig
+	fieldChanges
+	fieldRefused
+	fieldLeases
+)
+
+// snapshotWriter appends the fields of a controlpb.Snapshot one by one, so that the message is
+// never in memory as a whole next to its encoded form. Without a buffer it only counts.
+type snapshotWriter struct {
+	buffer []byte
+	size   int
+	err    error
+}
+
+func (w *snapshotWriter) message(field protowire.Number, m proto.Message) {
+	size := proto.Size(m)
+	w.size += protowire.SizeTag(field) + protowire.SizeBytes(size)
+	if w.buffer == nil || w.err != nil {
+		return
+	}
+	w.buffer = protowire.AppendTag(w.buffer, field, protowire.BytesType)
+	w.buffer = protowire.AppendVarint(w.buffer, uint64(size))
+	w.buffer, w.err = proto.MarshalOptions{Deterministic: true, UseCachedSize: true}.MarshalAppend(w.buffer, m)
+}
+
+func (w *snapshotWriter) write(v *state.View) {
+	head := &controlpb.Snapshot{Applied: v.Applied, Now: toNanos(v.Now), Floor: v.Floor, Config: configToPB(v.Config)}
+	w.size += proto.Size(head)
+	if w.buffer != nil {
+		w.buffer, w.err = proto.MarshalOptions{Deterministic: true}.MarshalAppend(w.buffer, head)
+	}
+	for r := range v.Claims() {
+		w.message(fieldClaims, claimToPB(r))
 	}
-	for i := range e.Claims {
-		s.Claims = append(s.Claims, claimToPB(&e.Claims[i]))
+	for _, b := range v.Barriers() {
+		w.message(fieldBarriers, &controlpb.Barrier{Key: b.Key[:], Index: b.Index, At: toNanos(b.At)})
 	}
-	for i := range e.Barriers {
-		b := &e.Barriers[i]
-		s.Barriers = append(s.Barriers, &controlpb.Barrier{Key: b.Key[:], Index: b.Index, At: toNanos(b.At)})
+	for i := range v.Changes {
+		c := &v.Changes[i]
+		w.message(fieldChanges, &controlpb.Change{Config: configToPB(c.AcceptedConfig), Digest: c.Digest[:]})
 	}
-	for i := range e.Changes {
-		c := &e.Changes[i]
-		s.Changes = append(s.Changes, &controlpb.Change{Config: configToPB(c.AcceptedConfig), Digest: c.Digest[:]})
+	for i := range v.Refused {
+		r := &v.Refused[i]
+		w.message(fieldRefused, &controlpb.RefusedChange{Digest: r.Digest[:], Conflict: conflictToPB(&r.Conflict)})
 	}
-	for i := range e.Refused {
-		r := &e.Refused[i]
-		s.Refused = append(s.Refused, &controlpb.RefusedChange{Digest: r.Digest[:], Conflict: conflictToPB(&r.Conflict)})
+	for _, l := range v.Leases() {
+		w.message(fieldLeases, leaseToPB(l))
 	}
-	return marshal(s, math.MaxInt32)
+}
+
+// EncodeSnapshot returns the whole state in the form of a snapshot file. It goes over the state
+// twice, first to find the size, so that the result is the only large allocation.
+func EncodeSnapshot(v *state.View) ([]byte, error) {
+	var count snapshotWriter
+	count.write(v)
+	if count.size > math.MaxInt32 {
+		return nil, &EncodeError{Value: v, Reason: "larger than the limit"}
+	}
+	w := snapshotWriter{buffer: make([]byte, 0, count.size)}
+	w.write(v)
+	if w.err != nil {
+		return nil, &EncodeError{Value: v, Reason: w.err.Error()}
+	}
+	return w.buffer, nil
 }
 
 // DecodeSnapshot reads the form that EncodeSnapshot returns. The limits must be those of
-// the machine that was encoded.
+// the machine that was encoded. Claims and barriers, which are most of a snapshot, are decoded
+// one by one.
 func DecodeSnapshot(data []byte, limits state.Limits) (*state.Machine, error) {
-	s := new(controlpb.Snapshot)
-	if err := unmarshal("snapshot", data, maxSnapshot(limits), s); err != nil {
-		return nil, err
+	if len(data) > maxSnapshot(limits) {
+		return nil, &DecodeError{Message: "snapshot", Reason: "larger than the limit"}
 	}
 	c := checker{message: "snapshot"}
-	e := state.Export{
-		Applied: s.GetApplied(), Now: fromNanos(s.Now), Floor: s.GetFloor(),
-		Config: c.config(s.GetConfig()), Leases: c.leases(s.GetLeases()),
+	im, e := state.NewImporter(limits), state.Export{}
+	for len(data) > 0 && c.err == nil {
+		field, kind, n := protowire.ConsumeTag(data)
+		if n < 0 {
+			return nil, &DecodeError{Message: "snapshot", Reason: protowire.ParseError(n).Error()}
+		}
+		size := protowire.ConsumeFieldValue(field, kind, data[n:])
+		if size < 0 {
+			return nil, &DecodeError{Message: "snapshot", Reason: protowire.ParseError(size).Error()}
+		}
+		c.snapshotField(im, &e, field, kind, data[:n+size], data[n:n+size])
+		data = data[n+size:]
 	}
-	for _, r := range s.GetClaims() {
-		e.Claims = append(e.Claims, c.claim(r))
+	if err := c.error(); err != nil {
+		return nil, err
 	}
-	for _, b := range s.GetBarriers() {
-		e.Barriers = append(e.Barriers, state.Barrier{Key: c.key(b.GetKey()), Index: b.GetIndex(), At: fromNanos(b.At)})
+	return im.Machine(e)
+}
+
+// snapshotField reads one field, of which whole includes the tag.
+func (c *checker) snapshotField(im *state.Importer, e *state.Export, field protowire.Number, kind protowire.Type, whole, value []byte) {
+	if kind == protowire.BytesType {
+		value, _ = protowire.ConsumeBytes(value)
+		if field == fieldClaims {
+			m := new(controlpb.ClaimRecord)
+			c.unmarshal(value, m)
+			im.Claim(c.claim(m))
+			return
+		}
+		if field == fieldBarriers {
+			m := new(controlpb.Barrier)
+			c.unmarshal(value, m)
+			im.Barrier(state.Barrier{Key: c.key(m.GetKey()), Index: m.GetIndex(), At: fromNanos(m.At)})
+			return
+		}
+	}
+	s := new(controlpb.Snapshot)
+	c.unmarshal(whole, s)
+	switch field { //nolint:exhaustive // the remaining fields are lists and are appended below
+	case fieldApplied:
+		e.Applied = s.GetApplied()
+	case fieldNow:
+		e.Now = fromNanos(s.Now)
+	case fieldFloor:
+		e.Floor = s.GetFloor()
+	case fieldConfig:
+		e.Config = c.config(s.GetConfig())
+	case fieldLeases:
+		if len(e.Leases) >= maxLeases {
+			c.fail("too many leases")
+		}
+		e.Leases = append(e.Leases, c.leases(s.GetLeases())...)
 	}
 	for _, change := range s.GetChanges() {
 		e.Changes = append(e.Changes, state.Change{AcceptedConfig: c.config(change.GetConfig()), Digest: c.digest(change.GetDigest())})
@@ -75,10 +168,12 @@
 	for _, r := range s.GetRefused() {
 		e.Refused = append(e.Refused, state.RefusedChange{Digest: c.digest(r.GetDigest()), Conflict: c.conflict(r.GetConflict())})
 	}
-	if err := c.error(); err != nil {
-		return nil, err
+}
+
+func (c *checker) unmarshal(data []byte, m proto.Message) {
+	if err := proto.Unmarshal(data, m); err != nil {
+		c.fail(err.Error())
 	}
-	return state.Import(e, limits)
 }
 
 func claimToPB(r *state.ClaimRecord) *controlpb.ClaimRecord {
--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -125,7 +125,7 @@
 func TestSnapshotRestoresTheWholeState(t *testing.T) {
 	m := machine(t)
 	limits := state.DefaultLimits()
-	data, err := controlwire.EncodeSnapshot(m)
+	data, err := controlwire.EncodeSnapshot(m.View())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,7 +136,7 @@
 	if !reflect.DeepEqual(restored.Export(), m.Export()) {
 		t.Fatalf("got %+v, want %+v", restored.Export(), m.Export())
 	}
-	again, err := controlwire.EncodeSnapshot(restored)
+	again, err := controlwire.EncodeSnapshot(restored.View())
 	if err != nil || !bytes.Equal(again, data) {
 		t.Fatalf("the snapshot of the restored state differs (%v)", err)
 	}
@@ -233,7 +233,7 @@
 
 // Guards against a damaged snapshot that panics, now or when the state is used.
 func FuzzDecodeSnapshot(f *testing.F) {
-	data, err := controlwire.EncodeSnapshot(machine(f))
+	data, err := controlwire.EncodeSnapshot(machine(f).View())
 	if err != nil {
 		f.Fatal(err)
 	}
