Add and remove voters through the operator endpoint

Cause: the remote control client did not implement port.VoterChanger, so `voters add|remove` was answered as unsupported.

Change: ChangeVoters travels as a command to the leader, which carries it out and answers after the commit. Typed refusals: last-voter, voter-change-in-progress, unknown-voter. A removal takes back an earlier permission to join. Answers are kept for requests that are sent again.

Switches tried: without Revoke at a removal, TestVotersAreAddedAndRemoved fails (the removed instance is a member again); without kept answers, TestVoterChangesAreRefusedByType fails (the repeated removal is refused as unknown); without the check of the last voter in the service, TestVotersAreAddedAndRemoved fails (no answer).

--- a/internal/decide/consensus/change.go
+++ b/internal/decide/consensus/change.go
@@ -70,6 +70,12 @@
 	return n.role == Leader
 }
 
+// Revoke takes back a permission to join.
+func (n *Node) Revoke(id model.InstanceID) { delete(n.permitted, id) }
+
+// CanChange reports whether a voter change may begin.
+func (n *Node) CanChange() bool { return n.canChange() }
+
 // promote gives a caught-up learner its vote. The folder that it replaces loses its vote in an
 // earlier change, so that each change adds or removes one voter.
 func (n *Node) promote(now time.Time) {
--- a/internal/decide/state/command.go
+++ b/internal/decide/state/command.go
@@ -90,6 +90,13 @@
 	Epoch model.Epoch
 }
 
+// ChangeVoters adds an instance to the control group or removes it. The voters carry it out;
+// the state does not hold them.
+type ChangeVoters struct {
+	Instance model.InstanceID
+	Remove   bool
+}
+
 func (Claim) command()        {}
 func (Finish) command()       {}
 func (Abandon) command()      {}
@@ -101,6 +108,7 @@
 func (ApplyConfig) command()  {}
 func (AcquireLease) command() {}
 func (ReleaseLease) command() {}
+func (ChangeVoters) command() {}
 
 // ClaimStatus is the answer to a command about a key.
 type ClaimStatus uint8
@@ -185,6 +193,8 @@
 		return "AcquireLease"
 	case ReleaseLease:
 		return "ReleaseLease"
+	case ChangeVoters:
+		return "ChangeVoters"
 	}
 	return "unknown command"
 }
--- a/internal/fault/control.go
+++ b/internal/fault/control.go
@@ -16,6 +16,9 @@
 	CodeDataFolder         = register("data-folder", "Data folder cannot be used", http.StatusInternalServerError, model.NotRun, ExitUsage)
 	CodeVoterFailed        = register("voter-failed", "Voter cannot make its log durable", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
 	CodeChangeReused       = register("change-id-reused", "Change id was used for another content", http.StatusConflict, model.NotRun, ExitConflict)
+	CodeLastVoter          = register("last-voter", "Last voter cannot be removed", http.StatusConflict, model.NotRun, ExitConflict)
+	CodeVoterChange        = register("voter-change-in-progress", "Another change of the voters is in progress", http.StatusConflict, model.NotRun, ExitConflict)
+	CodeUnknownVoter       = register("unknown-voter", "Instance is not known to the control group", http.StatusNotFound, model.NotRun, ExitConflict)
 )
 
 // ControlUnavailable reports that no quorum of the control group answered in time.
@@ -101,3 +104,34 @@
 
 // Unwrap returns the cause.
 func (e *VoterFailed) Unwrap() error { return e.Err }
+
+// LastVoter reports an attempt to remove the only voter.
+type LastVoter struct{ Instance model.InstanceID }
+
+// Code implements Fault.
+func (e *LastVoter) Code() Code { return CodeLastVoter }
+func (e *LastVoter) Error() string {
+	return fmt.Sprintf("instance %q is the last voter of the control group", e.Instance)
+}
+
+// VoterChangeInProgress reports a change of voters while an earlier one is not committed.
+type VoterChangeInProgress struct{ Instance model.InstanceID }
+
+// Code implements Fault.
+func (e *VoterChangeInProgress) Code() Code { return CodeVoterChange }
+func (e *VoterChangeInProgress) Error() string {
+	return fmt.Sprintf("the change of voter %q waits for another change", e.Instance)
+}
+
+// RetryAfter implements Retryable.
+func (e *VoterChangeInProgress) RetryAfter() time.Duration { return time.Second }
+
+// UnknownVoter reports an instance that is no member of the control group, or that did not ask
+// to join it.
+type UnknownVoter struct{ Instance model.InstanceID }
+
+// Code implements Fault.
+func (e *UnknownVoter) Code() Code { return CodeUnknownVoter }
+func (e *UnknownVoter) Error() string {
+	return fmt.Sprintf("instance %q is no member of the control group, or does not run with a data folder", e.Instance)
+}
--- a/internal/service/control/duty.go
+++ b/internal/service/control/duty.go
@@ -39,8 +39,6 @@
 	case stopLeading:
 		s.stopping = append(s.stopping, m)
 		s.node.Transfer(now)
-	case permit:
-		s.node.Permit(m.instance)
 	case port.PeerMessage:
 		switch body := m.Body.(type) {
 		case consensus.Message:
@@ -62,6 +60,7 @@
 func (s *Service) pump(now time.Time) {
 	s.takeReport(now)
 	s.compact(now)
+	s.continueVoterChange(now)
 	out := s.node.Output()
 	s.toSync(out.Batch)
 	for _, m := range out.Messages {
--- a/internal/service/control/harness_test.go
+++ b/internal/service/control/harness_test.go
@@ -188,16 +188,19 @@
 
 // client sends commands like a control client, from an instance of its own.
 type client struct {
-	g       *group
-	peers   *peers
-	id      atomic.Uint64
+	g     *group
+	peers *peers
+	id    atomic.Uint64
+	turn  atomic.Uint64
+	// ask lists whom to ask when no leader is known.
+	ask     []model.InstanceID
 	target  atomic.Pointer[model.InstanceID]
 	mu      sync.Mutex
 	waiting map[uint64]*ring.Ring[port.CommandReply]
 }
 
 func (g *group) client() *client {
-	c := &client{g: g, peers: g.hub.join(clientID), waiting: map[uint64]*ring.Ring[port.CommandReply]{}}
+	c := &client{g: g, peers: g.hub.join(clientID), ask: g.initial, waiting: map[uint64]*ring.Ring[port.CommandReply]{}}
 	c.target.Store(&g.initial[0])
 	c.peers.Handle(port.ControlClientName, nil, func(m port.PeerMessage) error {
 		if r, ok := m.Body.(port.CommandReply); ok {
@@ -214,8 +217,9 @@
 
 // do resends a command until a leader answers it.
 func (c *client) do(command state.Command) state.Result {
+	id := c.id.Add(1)
 	for end := time.Now().Add(limit); time.Now().Before(end); {
-		if r, ok := c.try(command); ok {
+		if r, ok := c.send(id, command); ok {
 			return r
 		}
 	}
@@ -223,8 +227,10 @@
 	return state.Result{}
 }
 
-func (c *client) try(command state.Command) (state.Result, bool) {
-	id := c.id.Add(1)
+func (c *client) try(command state.Command) (state.Result, bool) { return c.send(c.id.Add(1), command) }
+
+// send asks once. A command that is sent again keeps its id.
+func (c *client) send(id uint64, command state.Command) (state.Result, bool) {
 	replies := ring.New[port.CommandReply]("replies", 4, ring.Refuse)
 	c.mu.Lock()
 	c.waiting[id] = replies
@@ -247,7 +253,7 @@
 	}
 	next := r.Leader
 	if next == "" {
-		next = c.g.initial[int(id)%len(c.g.initial)]
+		next = c.ask[int(c.turn.Add(1))%len(c.ask)]
 		time.Sleep(10 * time.Millisecond)
 	}
 	c.target.Store(&next)
--- a/internal/service/control/requests.go
+++ b/internal/service/control/requests.go
@@ -53,6 +53,8 @@
 	case state.Await:
 		r.lookup, r.await = c.Lookup, true
 		s.read(now, r)
+	case state.ChangeVoters:
+		s.changeVoters(now, r, c)
 	default:
 		s.propose(now, m.Command, &r)
 	}
@@ -233,6 +235,7 @@
 			s.notLeader(r)
 		}
 	}
+	s.refuseVoterChange()
 	next := q.nextRead
 	*q = newRequests()
 	q.nextRead = next
--- a/internal/service/control/service.go
+++ b/internal/service/control/service.go
@@ -11,14 +11,13 @@
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/kernel"
-	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/ring"
 	"briaryard/internal/storage"
 	"briaryard/internal/wire/consensuswire"
 )
 
-// message is what the control ring carries: port.PeerMessage, wake, stopLeading or permit.
+// message is what the control ring carries: port.PeerMessage, wake, or stopLeading.
 type message any
 
 // wake asks the control duty to look at the reports of the sync duty.
@@ -27,9 +26,6 @@
 // stopLeading asks the leader to hand over; done is closed when it leads no more.
 type stopLeading struct{ done chan struct{} }
 
-// permit lets another instance join the group as a learner.
-type permit struct{ instance model.InstanceID }
-
 // Service is a voter.
 type Service struct {
 	set      Settings
@@ -65,6 +61,8 @@
 	logged    int
 	logBytes  int
 	compacted uint64
+	changing  *voterChange
+	changed   []changeAnswer
 	// capturing is set while a capture is at the snapshot duty.
 	capturing bool
 }
@@ -172,10 +170,6 @@
 // Status returns the voter's view of its group, for operators.
 func (s *Service) Status() consensus.Status { return *s.status.Load() }
 
-// Permit lets another instance join as a learner, if this voter leads. It is promoted to a
-// voter when it has caught up.
-func (s *Service) Permit(id model.InstanceID) error { return s.ring.Offer(permit{instance: id}) }
-
 func (s *Service) publish() {
 	status := s.node.Status()
 	s.status.Store(&status)
--- /dev/null
+++ b/internal/service/control/voters_test.go
@@ -0,0 +1,169 @@
+package control_test
+
+import (
+	"reflect"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"briaryard/internal/decide/state"
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+)
+
+func add(id model.InstanceID) state.Command    { return state.ChangeVoters{Instance: id} }
+func remove(id model.InstanceID) state.Command { return state.ChangeVoters{Instance: id, Remove: true} }
+
+// members returns the instances in the leader's membership, sorted, and whether all vote.
+func (g *group) members() (ids []model.InstanceID, vote bool) {
+	l := g.leader()
+	if l == nil {
+		return nil, false
+	}
+	vote = true
+	for _, r := range l.service.Status().Members.Members {
+		ids = append(ids, r.Instance)
+		vote = vote && !r.Learner
+	}
+	slices.Sort(ids)
+	return ids, vote
+}
+
+func (g *group) hasVoters(want ...model.InstanceID) func() bool {
+	return func() bool {
+		ids, vote := g.members()
+		return vote && slices.Equal(ids, want)
+	}
+}
+
+// Guards against a change of voters that is answered before it is committed, is lost with its
+// leader, is undone by the removed instance, or leaves no voter.
+func TestVotersAreAddedAndRemoved(t *testing.T) {
+	g := newGroup(t, 3)
+	g.startAll()
+	c := g.client()
+	c.ask = append(slices.Clone(g.initial), "v3")
+	c.do(claim(1))
+	if err := g.start("v3"); err != nil {
+		t.Fatal(err)
+	}
+	// The leader that permitted the instance removes it again, and must forget the permission.
+	for _, change := range []state.Command{add("v3"), remove("v3")} {
+		if err := c.change(change); err != nil {
+			t.Fatal(err)
+		}
+		g.eventually("the change shows", func() bool {
+			want := []model.InstanceID{"v0", "v1", "v2", "v3"}
+			return g.hasVoters(want[:len(want)-len(removed(change))]...)()
+		})
+	}
+	g.staysAt("v0", "v1", "v2")
+	if err := c.change(add("v3")); err != nil {
+		t.Fatal(err)
+	}
+	g.eventually("four voters", g.hasVoters("v0", "v1", "v2", "v3"))
+	// The removed instances go on running and would rejoin if they could. The leader goes first.
+	left := []model.InstanceID{"v0", "v1", "v2", "v3"}
+	for len(left) > 1 {
+		var gone model.InstanceID
+		g.eventually("a leader that can change voters", func() bool {
+			l := g.leader()
+			if l != nil {
+				gone = l.id
+			}
+			return l != nil
+		})
+		err := c.change(remove(gone))
+		var unknown *fault.UnknownVoter
+		if err != nil && !asFault(err, &unknown) {
+			t.Fatalf("removal of %s: %v", gone, err)
+		}
+		left = slices.DeleteFunc(left, func(id model.InstanceID) bool { return id == gone })
+		g.eventually("the voter is removed", g.hasVoters(left...))
+	}
+	if err := c.change(remove(left[0])); !reflect.DeepEqual(err, &fault.LastVoter{Instance: left[0]}) {
+		t.Fatalf("removal of the last voter: %v", err)
+	}
+	if r := c.do(state.Lookup{Key: claim(1).Key}); r.Claim != state.ClaimHeld {
+		t.Fatalf("the claim is %s", r.Claim)
+	}
+	g.staysAt(left...)
+}
+
+func removed(c state.Command) []model.InstanceID {
+	if c := c.(state.ChangeVoters); c.Remove {
+		return []model.InstanceID{c.Instance}
+	}
+	return nil
+}
+
+// staysAt fails if a removed instance joins again. Each asks about once a second.
+func (g *group) staysAt(want ...model.InstanceID) {
+	g.t.Helper()
+	g.eventually("the members settle", g.hasVoters(want...))
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ids, _ := g.members(); ids != nil && !slices.Equal(ids, want) {
+			g.t.Fatalf("members are %v, want %v", ids, want)
+		}
+	}
+}
+
+// change repeats a change, as an operator would, while another one is in progress.
+func (c *client) change(command state.Command) fault.Fault {
+	for end := time.Now().Add(limit); ; time.Sleep(10 * time.Millisecond) {
+		err := c.do(command).Err
+		var busy *fault.VoterChangeInProgress
+		if !asFault(err, &busy) || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+func asFault[T fault.Fault](f fault.Fault, target *T) bool {
+	v, ok := f.(T)
+	*target = v
+	return ok
+}
+
+// Guards against a refusal without its type, and a removal whose repeated request is refused
+// after its answer was lost.
+func TestVoterChangesAreRefusedByType(t *testing.T) {
+	g := newGroup(t, 3)
+	g.startAll()
+	c := g.client()
+	c.do(claim(1))
+	var wg sync.WaitGroup
+	began := c.id.Load()
+	wg.Go(func() {
+		if err := c.change(add("ghost")); !reflect.DeepEqual(err, &fault.UnknownVoter{Instance: "ghost"}) {
+			t.Errorf("an instance that does not run: %v", err)
+		}
+	})
+	g.eventually("the change was sent", func() bool { return c.id.Load() > began })
+	g.eventually("the change is in progress", func() bool {
+		return reflect.DeepEqual(c.do(remove("absent")).Err, &fault.VoterChangeInProgress{Instance: "absent"})
+	})
+	wg.Wait()
+	if err := c.change(remove("ghost")); !reflect.DeepEqual(err, &fault.UnknownVoter{Instance: "ghost"}) {
+		t.Errorf("removal of an unknown instance: %v", err)
+	}
+	id := c.id.Add(1)
+	victim := g.initial[0]
+	if g.leader().id == victim {
+		victim = g.initial[1]
+	}
+	for range 2 {
+		g.eventually("the removal is answered", func() bool {
+			r, ok := c.send(id, remove(victim))
+			var busy *fault.VoterChangeInProgress
+			if ok && asFault(r.Err, &busy) {
+				return false
+			}
+			if ok && r.Err != nil {
+				t.Fatal(r.Err)
+			}
+			return ok
+		})
+	}
+}
--- a/internal/service/controlclient/status.go
+++ b/internal/service/controlclient/status.go
@@ -1,6 +1,7 @@
 package controlclient
 
 import (
+	"briaryard/internal/decide/state"
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 )
@@ -10,6 +11,11 @@
 	r.statuses = append(r.statuses, sink)
 }
 
+// ChangeVoters implements port.VoterChanger.
+func (r *Remote) ChangeVoters(c port.VoterChange, reply func(port.ControlReply)) error {
+	return r.Do(state.ChangeVoters{Instance: c.Instance, Remove: c.Remove}, reply)
+}
+
 // publishStatus passes on what the answer to a heartbeat says of the control group. The
 // leader is the sender, because only a leader answers heartbeats.
 func (r *Remote) publishStatus(leader model.InstanceID, b port.HeartbeatReply) {
--- a/internal/wire/controlwire/codec.go
+++ b/internal/wire/controlwire/codec.go
@@ -150,6 +150,18 @@
 	case *fault.ControlUnavailable:
 		return &controlpb.Fault{Fault: &controlpb.Fault_ControlUnavailable{ControlUnavailable: &controlpb.ControlUnavailable{Operation: f.Operation}}}, nil
 	}
+	return voterFaultToPB(f)
+}
+
+func voterFaultToPB(f fault.Fault) (*controlpb.Fault, error) {
+	switch f := f.(type) {
+	case *fault.LastVoter:
+		return &controlpb.Fault{Fault: &controlpb.Fault_LastVoter{LastVoter: &controlpb.Voter{Instance: string(f.Instance)}}}, nil
+	case *fault.VoterChangeInProgress:
+		return &controlpb.Fault{Fault: &controlpb.Fault_VoterChangeInProgress{VoterChangeInProgress: &controlpb.Voter{Instance: string(f.Instance)}}}, nil
+	case *fault.UnknownVoter:
+		return &controlpb.Fault{Fault: &controlpb.Fault_UnknownVoter{UnknownVoter: &controlpb.Voter{Instance: string(f.Instance)}}}, nil
+	}
 	return nil, &EncodeError{Value: f, Reason: "unknown fault"}
 }
 
@@ -173,6 +185,14 @@
 	case *controlpb.Fault_ControlUnavailable:
 		return &fault.ControlUnavailable{Operation: c.text(f.ControlUnavailable.GetOperation())}
 	}
+	switch f := m.GetFault().(type) {
+	case *controlpb.Fault_LastVoter:
+		return &fault.LastVoter{Instance: c.instance(f.LastVoter.GetInstance())}
+	case *controlpb.Fault_VoterChangeInProgress:
+		return &fault.VoterChangeInProgress{Instance: c.instance(f.VoterChangeInProgress.GetInstance())}
+	case *controlpb.Fault_UnknownVoter:
+		return &fault.UnknownVoter{Instance: c.instance(f.UnknownVoter.GetInstance())}
+	}
 	c.fail("unknown fault")
 	return nil
 }
--- a/internal/wire/controlwire/command.go
+++ b/internal/wire/controlwire/command.go
@@ -71,6 +71,10 @@
 		return &controlpb.Command{Command: &controlpb.Command_ReleaseLease{ReleaseLease: &controlpb.ReleaseLease{
 			Name: c.Name, Epoch: uint64(c.Epoch)}}}, nil
 	}
+	if c, ok := c.(state.ChangeVoters); ok {
+		return &controlpb.Command{Command: &controlpb.Command_ChangeVoters{ChangeVoters: &controlpb.ChangeVoters{
+			Instance: string(c.Instance), Remove: c.Remove}}}, nil
+	}
 	return nil, &EncodeError{Value: c, Reason: "unknown command"}
 }
 
@@ -106,6 +110,9 @@
 	case *controlpb.Command_ReleaseLease:
 		return state.ReleaseLease{Name: c.text(m.ReleaseLease.GetName()), Epoch: model.Epoch(m.ReleaseLease.GetEpoch())}
 	}
+	if v := m.GetChangeVoters(); v != nil {
+		return state.ChangeVoters{Instance: c.instance(v.GetInstance()), Remove: v.GetRemove()}
+	}
 	c.fail("unknown command")
 	return nil
 }
--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -39,6 +39,7 @@
 		state.ApplyConfig{ChangeID: "c1", Base: 1, Number: 2, Operator: "ana", Content: []byte("teams: []")},
 		state.AcquireLease{Name: "dispatcher/chat", Holder: "i1", Incarnation: 7, After: 3},
 		state.ReleaseLease{Name: "dispatcher/chat", Epoch: 4},
+		state.ChangeVoters{Instance: "i4", Remove: true},
 	}
 }
 
@@ -55,6 +56,7 @@
 	}
 	for _, f := range []fault.Fault{
 		&fault.ClaimsFull{Limit: 10}, &fault.ChangeReused{ChangeID: "c1"}, &fault.ControlUnavailable{Operation: "Claim"},
+		&fault.LastVoter{Instance: "i1"}, &fault.VoterChangeInProgress{Instance: "i1"}, &fault.UnknownVoter{Instance: "i1"},
 		&fault.ConfigConflict{Number: 2, Current: 3, WinnerChange: "c2", WinnerOperator: "luz"},
 	} {
 		all = append(all, port.CommandReply{ID: 4, Result: state.Result{Err: f}})
