--- a/internal/service/control/harness_test.go
+++ b/internal/service/control/harness_test.go
@@ -1,9 +1,7 @@
 package control_test
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"fmt"
 	"log/slog"
 	"path/filepath"
@@ -101,49 +99,6 @@
 	return h.sink(port.PeerMessage{From: p.self, Incarnation: 1, Body: body})
 }
 
-// gobCodecs stand in for the control codecs. They cannot encode snapshots.
-type gobCodecs struct{}
-
-type box struct{ Value any }
-
-func init() {
-	for _, v := range []any{state.Claim{}, state.Finish{}, state.Lookup{}, state.Await{}, port.CommandRequest{}, port.Heartbeat{}} {
-		gob.Register(v)
-	}
-}
-
-func (gobCodecs) Encode(body any) ([]byte, error) {
-	var b bytes.Buffer
-	err := gob.NewEncoder(&b).Encode(box{body})
-	return b.Bytes(), err
-}
-
-func (gobCodecs) Decode(data []byte) (any, error) {
-	var v box
-	err := gob.NewDecoder(bytes.NewReader(data)).Decode(&v)
-	return v.Value, err
-}
-
-func (g gobCodecs) EncodeCommand(c state.Command) ([]byte, error) { return g.Encode(c) }
-
-func (g gobCodecs) DecodeCommand(data []byte) (state.Command, error) {
-	v, err := g.Decode(data)
-	if err != nil {
-		return nil, err
-	}
-	return v.(state.Command), nil
-}
-
-func (gobCodecs) EncodeSnapshot(*state.Machine) ([]byte, error) {
-	return nil, fmt.Errorf("no snapshots")
-}
-
-func (gobCodecs) DecodeSnapshot([]byte, state.Limits) (*state.Machine, error) {
-	return nil, fmt.Errorf("no snapshots")
-}
-
-func (g gobCodecs) Messages() port.Codec { return g }
-
 type noSessions struct{}
 
 func (noSessions) Begin(time.Time) {}
@@ -187,7 +142,7 @@
 	v.kernel = kernel.New(func(err error) { g.t.Error(err) })
 	v.service = control.New(control.Settings{
 		Self: id, Folder: v.folder, Initial: g.initial, Limits: state.DefaultLimits(), Files: g.files[id],
-	}, gobCodecs{}, noSessions{}, event.New(slog.New(slog.NewTextHandler(g.t.Output(), nil))))
+	}, control.WireCodecs{}, noSessions{}, event.New(slog.New(slog.NewTextHandler(g.t.Output(), nil))))
 	for _, s := range []kernel.Service{g.hub.join(id), v.service} {
 		if err := v.kernel.Register(s); err != nil {
 			return err
@@ -233,16 +188,19 @@
 
 // client sends commands like a control client, from an instance of its own.
 type client struct {
-	g       *group
-	peers   *peers
-	id      atomic.Uint64
+	g     *group
+	peers *peers
+	id    atomic.Uint64
+	turn  atomic.Uint64
+	// ask lists whom to ask when no leader is known.
+	ask     []model.InstanceID
 	target  atomic.Pointer[model.InstanceID]
 	mu      sync.Mutex
 	waiting map[uint64]*ring.Ring[port.CommandReply]
 }
 
 func (g *group) client() *client {
-	c := &client{g: g, peers: g.hub.join(clientID), waiting: map[uint64]*ring.Ring[port.CommandReply]{}}
+	c := &client{g: g, peers: g.hub.join(clientID), ask: g.initial, waiting: map[uint64]*ring.Ring[port.CommandReply]{}}
 	c.target.Store(&g.initial[0])
 	c.peers.Handle(port.ControlClientName, nil, func(m port.PeerMessage) error {
 		if r, ok := m.Body.(port.CommandReply); ok {
@@ -259,8 +217,9 @@
 
 // do resends a command until a leader answers it.
 func (c *client) do(command state.Command) state.Result {
+	id := c.id.Add(1)
 	for end := time.Now().Add(limit); time.Now().Before(end); {
-		if r, ok := c.try(command); ok {
+		if r, ok := c.send(id, command); ok {
 			return r
 		}
 	}
@@ -268,8 +227,10 @@
 	return state.Result{}
 }
 
-func (c *client) try(command state.Command) (state.Result, bool) {
-	id := c.id.Add(1)
+func (c *client) try(command state.Command) (state.Result, bool) { return c.send(c.id.Add(1), command) }
+
+// send asks once. A command that is sent again keeps its id.
+func (c *client) send(id uint64, command state.Command) (state.Result, bool) {
 	replies := ring.New[port.CommandReply]("replies", 4, ring.Refuse)
 	c.mu.Lock()
 	c.waiting[id] = replies
@@ -292,7 +253,7 @@
 	}
 	next := r.Leader
 	if next == "" {
-		next = c.g.initial[int(id)%len(c.g.initial)]
+		next = c.ask[int(c.turn.Add(1))%len(c.ask)]
 		time.Sleep(10 * time.Millisecond)
 	}
 	c.target.Store(&next)
--- a/internal/service/control/service.go
+++ b/internal/service/control/service.go
@@ -11,14 +11,13 @@
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/kernel"
-	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/ring"
 	"briaryard/internal/storage"
 	"briaryard/internal/wire/consensuswire"
 )
 
-// message is what the control ring carries: port.PeerMessage, wake, stopLeading or permit.
+// message is what the control ring carries: port.PeerMessage, wake, or stopLeading.
 type message any
 
 // wake asks the control duty to look at the reports of the sync duty.
@@ -27,9 +26,6 @@
 // stopLeading asks the leader to hand over; done is closed when it leads no more.
 type stopLeading struct{ done chan struct{} }
 
-// permit lets another instance join the group as a learner.
-type permit struct{ instance model.InstanceID }
-
 // Service is a voter.
 type Service struct {
 	set      Settings
@@ -40,9 +36,12 @@
 	ring     *ring.Ring[message]
 	syncs    *ring.Ring[job]
 	reports  *ring.Ring[report]
-	duties   []*kernel.Duty
-	failure  atomic.Pointer[fault.VoterFailed]
-	status   atomic.Pointer[consensus.Status]
+	// captures and encodings join the control duty and the snapshot duty.
+	captures  *ring.Ring[capture]
+	encodings *ring.Ring[encoded]
+	duties    []*kernel.Duty
+	failure   atomic.Pointer[fault.VoterFailed]
+	status    atomic.Pointer[consensus.Status]
 
 	// folder belongs to the sync duty once that has started.
 	folder *folder
@@ -62,6 +61,10 @@
 	logged    int
 	logBytes  int
 	compacted uint64
+	changing  *voterChange
+	changed   []changeAnswer
+	// capturing is set while a capture is at the snapshot duty.
+	capturing bool
 }
 
 // New returns the service.
@@ -71,9 +74,11 @@
 	}
 	return &Service{
 		set: set, codecs: codecs, sessions: sessions, log: log,
-		ring:    ring.New[message]("control", controlCapacity, ring.Refuse),
-		syncs:   ring.New[job]("sync", syncCapacity, ring.Block),
-		reports: ring.New[report]("sync-reports", 1, ring.ReplaceOldest),
+		ring:      ring.New[message]("control", controlCapacity, ring.Refuse),
+		syncs:     ring.New[job]("sync", syncCapacity, ring.Block),
+		reports:   ring.New[report]("sync-reports", 1, ring.ReplaceOldest),
+		captures:  ring.New[capture]("snapshot", 1, ring.Refuse),
+		encodings: ring.New[encoded]("snapshot-reports", 1, ring.ReplaceOldest),
 	}
 }
 
@@ -110,6 +115,7 @@
 		s.node.Status().Last, stored.Snapshot.Index, time.Since(began))
 	s.duties = append(s.duties,
 		h.Go("sync", s.runSync, s.syncs),
+		h.Go("snapshot", s.runSnapshot, s.captures),
 		h.Go("control", func(ctx context.Context, d *kernel.Duty) {
 			kernel.Loop[message]{Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick}.Run(ctx, d)
 		}, s.ring))
@@ -148,6 +154,7 @@
 	for i := len(s.duties) - 1; i >= 0; i-- {
 		s.duties[i].End()
 	}
+	s.captures.Close()
 	s.syncs.Close()
 	return s.folder.log.Close()
 }
@@ -163,10 +170,6 @@
 // Status returns the voter's view of its group, for operators.
 func (s *Service) Status() consensus.Status { return *s.status.Load() }
 
-// Permit lets another instance join as a learner, if this voter leads. It is promoted to a
-// voter when it has caught up.
-func (s *Service) Permit(id model.InstanceID) error { return s.ring.Offer(permit{instance: id}) }
-
 func (s *Service) publish() {
 	status := s.node.Status()
 	s.status.Store(&status)
--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -39,6 +39,7 @@
 		state.ApplyConfig{ChangeID: "c1", Base: 1, Number: 2, Operator: "ana", Content: []byte("teams: []")},
 		state.AcquireLease{Name: "dispatcher/chat", Holder: "i1", Incarnation: 7, After: 3},
 		state.ReleaseLease{Name: "dispatcher/chat", Epoch: 4},
+		state.ChangeVoters{Instance: "i4", Remove: true},
 	}
 }
 
@@ -55,6 +56,7 @@
 	}
 	for _, f := range []fault.Fault{
 		&fault.ClaimsFull{Limit: 10}, &fault.ChangeReused{ChangeID: "c1"}, &fault.ControlUnavailable{Operation: "Claim"},
+		&fault.LastVoter{Instance: "i1"}, &fault.VoterChangeInProgress{Instance: "i1"}, &fault.UnknownVoter{Instance: "i1"},
 		&fault.ConfigConflict{Number: 2, Current: 3, WinnerChange: "c2", WinnerOperator: "luz"},
 	} {
 		all = append(all, port.CommandReply{ID: 4, Result: state.Result{Err: f}})
@@ -125,7 +127,7 @@
 func TestSnapshotRestoresTheWholeState(t *testing.T) {
 	m := machine(t)
 	limits := state.DefaultLimits()
-	data, err := controlwire.EncodeSnapshot(m)
+	data, err := controlwire.EncodeSnapshot(m.View())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,7 +138,7 @@
 	if !reflect.DeepEqual(restored.Export(), m.Export()) {
 		t.Fatalf("got %+v, want %+v", restored.Export(), m.Export())
 	}
-	again, err := controlwire.EncodeSnapshot(restored)
+	again, err := controlwire.EncodeSnapshot(restored.View())
 	if err != nil || !bytes.Equal(again, data) {
 		t.Fatalf("the snapshot of the restored state differs (%v)", err)
 	}
@@ -233,7 +235,7 @@
 
 // Guards against a damaged snapshot that panics, now or when the state is used.
 func FuzzDecodeSnapshot(f *testing.F) {
-	data, err := controlwire.EncodeSnapshot(machine(f))
+	data, err := controlwire.EncodeSnapshot(machine(f).View())
 	if err != nil {
 		f.Fatal(err)
 	}
