--- a/cmd/briaryard/load.go
+++ b/cmd/briaryard/load.go
@@ -14,7 +14,7 @@
 type loadCommand struct {
 	Addresses  []string      `help:"Caller addresses (host:port) of instances to start from; loopback only." required:""`
 	Executions []string      `help:"Addresses of stand-in backend servers that report what they executed; loopback only."`
-	Mix        string        `help:"Workload: office or workshop." default:"office" enum:"office,workshop"`
+	Mix        string        `help:"Workload: office or workshop for the pools of the dev command, example-office for those of examples/office." default:"office" enum:"office,workshop,example-office"`
 	Rate       float64       `help:"Mean requests per second." default:"50"`
 	Duration   time.Duration `help:"Length of the run." default:"20s"`
 	Seed       uint64        `help:"Seed of the schedule." default:"1"`
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -39,9 +39,9 @@
 	Classes []Class
 }
 
-// Mixes returns the workloads of the two deployments by name.
+// Mixes returns the workloads of the two deployments, and the one of examples/office, by name.
 func Mixes() map[string]Mix {
-	return map[string]Mix{"office": officeMix(), "workshop": workshopMix()}
+	return map[string]Mix{"office": officeMix(), "workshop": workshopMix(), "example-office": exampleOfficeMix()}
 }
 
 // officeMix is the workload of the footwear office: chats beside a fitting, notes and
@@ -74,7 +74,7 @@
 func MixByName(name string) (Mix, error) {
 	m, ok := Mixes()[name]
 	if !ok {
-		return Mix{}, &fault.InvalidSetting{Setting: "--mix", Reason: "want office or workshop"}
+		return Mix{}, &fault.InvalidSetting{Setting: "--mix", Reason: "want office, workshop or example-office"}
 	}
 	return m, nil
 }
