Secure calls to backend servers and follow changed tokens

Calls to backend servers were plain and carried no token, the operator commands could not reach a fleet with TLS or tokens, and token and authority files were read only at the start. All trust files are read again within a second of a change; files that cannot be used are reported by event 5005 and what was read before stays in use. Engine calls no longer follow redirects, which would have sent a request a second time.

--- a/cmd/briaryard/operate.go
+++ b/cmd/briaryard/operate.go
@@ -124,13 +124,14 @@
 }
 
 type drainCommand struct {
+	operatorTrust
 	Address string `help:"Operator address (host:port) of the instance to stop." required:""`
 }
 
 // Run implements the command.
 func (c *drainCommand) Run(p *printer) error {
 	var d operator.Draining
-	client := operator.NewClient([]string{c.Address})
+	client := c.to([]string{c.Address})
 	if err := client.Post(context.Background(), operator.PathDrain, struct{}{}, &d); err != nil {
 		return err
 	}
--- a/cmd/briaryard/printer.go
+++ b/cmd/briaryard/printer.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"text/tabwriter"
 
 	"briaryard/internal/operator"
+	"briaryard/internal/trust"
 )
 
 // printer writes answers.
@@ -46,7 +48,29 @@
 
 // remote is the choice of the instance that a command talks to.
 type remote struct {
+	operatorTrust
 	Address []string `help:"Operator address (host:port) of an instance. Give several, separated by commas, to try them in order." env:"BRIARYARD_OPERATOR" default:"127.0.0.1:8082"`
 }
 
-func (r *remote) client() *operator.Client { return operator.NewClient(r.Address) }
+func (r *remote) client() *operator.Client { return r.to(r.Address) }
+
+// operatorTrust says how calls to the operator address are secured. The token has no flag,
+// because other users of the machine can read the arguments of a command.
+type operatorTrust struct {
+	OperatorCA string `name:"operator-ca" help:"Certificate file (PEM) of the authority of the instances; with it calls use TLS." env:"BRIARYARD_OPERATOR_CA"`
+	TokenFile  string `name:"operator-token-file" help:"File with the operator's token; without it the environment variable BRIARYARD_OPERATOR_TOKEN is used." env:"BRIARYARD_OPERATOR_TOKEN_FILE"`
+	outgoing   *trust.Outgoing
+}
+
+// AfterApply reads the files once the command line has been parsed.
+func (o *operatorTrust) AfterApply() error {
+	var err error
+	o.outgoing, err = trust.LoadOutgoing(trust.OutgoingFiles{
+		Authority: o.OperatorCA, TokenFile: o.TokenFile, Token: os.Getenv("BRIARYARD_OPERATOR_TOKEN"),
+	})
+	return err
+}
+
+func (o *operatorTrust) to(addresses []string) *operator.Client {
+	return operator.NewSecuredClient(addresses, o.outgoing)
+}
--- a/cmd/briaryard/standin.go
+++ b/cmd/briaryard/standin.go
@@ -14,6 +14,7 @@
 	"briaryard/internal/standin/announce"
 	"briaryard/internal/standin/booking"
 	"briaryard/internal/standin/engine"
+	"briaryard/internal/trust"
 )
 
 // standinCommand runs one stand-in backend server as a process, for tests.
@@ -30,6 +31,11 @@
 	FailureDomain string   `help:"Failure domain of the backend server." default:"domain-1"`
 	Slots         int      `help:"Requests that run at once." default:"8"`
 	Instances     []string `help:"Addresses where instances take announcements." required:""`
+	TLSCert       string   `name:"tls-cert" help:"Certificate file (PEM) of the listener; plain without it." and:"tls"`
+	TLSKey        string   `name:"tls-key" help:"Key file (PEM) of the certificate." and:"tls"`
+	AcceptTokens  string   `help:"File with the tokens (backend-server TOKEN) that calls must carry one of."`
+	InstanceCA    string   `name:"instance-ca" help:"Certificate file (PEM) of the authority of the instances; with it announcements use TLS."`
+	TokenFile     string   `help:"File with the token of announcements."`
 }
 
 type engineStandin struct {
@@ -74,11 +80,24 @@
 	if advertised == "" {
 		advertised = l.Addr().String()
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	go announce.Run(ctx, c.Instances, func() frontannounce.Announcement { return current(advertised) })
+	accepted, err := trust.LoadTokens(c.AcceptTokens, "", nil)
+	if err != nil {
+		return err
+	}
+	outgoing, err := trust.LoadOutgoing(trust.OutgoingFiles{Authority: c.InstanceCA, TokenFile: c.TokenFile})
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: accepted.Guard(trust.RoleServer)(h), ReadHeaderTimeout: readHeaderTimeout}
+	go announce.RunSecured(ctx, outgoing, c.Instances, func() frontannounce.Announcement { return current(advertised) })
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	fmt.Println(l.Addr().String())
-	if err := server.Serve(l); err != http.ErrServerClosed {
+	if c.TLSCert != "" {
+		err = server.ServeTLS(l, c.TLSCert, c.TLSKey)
+	} else {
+		err = server.Serve(l)
+	}
+	if err != http.ErrServerClosed {
 		return err
 	}
 	return nil
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -73,7 +73,7 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.Supply(i.log, &i.settings, initial),
-		fx.Provide(metric.NewSet, settings.security, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
+		fx.Provide(metric.NewSet, settings.security, settings.outgoing, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
 		fx.Provide(
 			service(func(l *event.Log, c trust.Configs) *peers.Service {
 				return peers.New(l, settings.peers(i.incarnation, c))
@@ -81,8 +81,8 @@
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(i.newControlClient),
 			service(func(l *event.Log) *config.Service { return config.New(l, settings.place()) }), service(dispatch.New), service(dispatcher.New), service(entry.New),
-			service(transfer.New), service(func(l *event.Log) kernel.Service { return engineclient.New(l) }),
-			service(func() kernel.Service { return plainclient.New() }),
+			service(transfer.New), service(func(l *event.Log, o *trust.Outgoing) kernel.Service { return engineclient.New(l, o) }),
+			service(func(o *trust.Outgoing) kernel.Service { return plainclient.New(o) }),
 			service(func(s *frontcaller.Service) kernel.Service { return s }),
 			service(func(s *frontannounce.Service) kernel.Service { return s }),
 			service(func(s *frontoperator.Service) kernel.Service { return s }),
@@ -100,7 +100,7 @@
 	return fx.Annotate(constructor, fx.As(new(kernel.Service)), fx.ResultTags(`group:"services"`))
 }
 
-func (i *Instance) newCallers(l *event.Log, c trust.Configs, t *trust.Tokens) *frontcaller.Service {
+func (i *Instance) newCallers(l *event.Log, c trust.Configs, t *trust.TokenSource) *frontcaller.Service {
 	s := frontcaller.New(l, frontcaller.Options{
 		Address: i.settings.CallerAddress, MaxBody: i.settings.MaxBodyBytes,
 		AddressTTL: int(i.settings.AddressTTL.Seconds()), Domain: model.FailureDomain(i.settings.FailureDomain),
@@ -109,13 +109,13 @@
 	return s
 }
 
-func (i *Instance) newAnnounce(l *event.Log, c trust.Configs, t *trust.Tokens) *frontannounce.Service {
+func (i *Instance) newAnnounce(l *event.Log, c trust.Configs, t *trust.TokenSource) *frontannounce.Service {
 	s := frontannounce.New(l, i.settings.ServerAddress)
 	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleServer)})
 	return s
 }
 
-func (i *Instance) newOperators(l *event.Log, m *metric.Set, c trust.Configs, t *trust.Tokens) *frontoperator.Service {
+func (i *Instance) newOperators(l *event.Log, m *metric.Set, c trust.Configs, t *trust.TokenSource) *frontoperator.Service {
 	s := frontoperator.New(l, m, frontoperator.Options{
 		Address: i.settings.OperAddress, Instance: model.InstanceID(i.settings.ID), Incarnation: i.incarnation,
 		Domain: model.FailureDomain(i.settings.FailureDomain), Health: i.kernel.Health, Drain: i.drain,
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"net"
-	"os"
 	"time"
 
 	"briaryard/internal/declare"
@@ -35,10 +34,13 @@
 	AdvOperator   string        `name:"advertise-operator-address" help:"Operator address as operators reach it, if it differs." env:"BRIARYARD_ADVERTISE_OPERATOR_ADDRESS"`
 	TLSCert       string        `name:"tls-cert" help:"Certificate file (PEM) for all listeners; read again when it changes." env:"BRIARYARD_TLS_CERT"`
 	TLSKey        string        `name:"tls-key" help:"Key file (PEM) of the certificate." env:"BRIARYARD_TLS_KEY"`
-	TLSCA         string        `name:"tls-ca" help:"Certificate file (PEM) of the authority that the instances share." env:"BRIARYARD_TLS_CA"`
+	TLSCA         string        `name:"tls-ca" help:"Certificate file (PEM) of the authority that the instances share; read again when it changes." env:"BRIARYARD_TLS_CA"`
 	AllowPlain    bool          `help:"Accept plain connections on addresses other than loopback." env:"BRIARYARD_ALLOW_PLAIN"`
-	TokensFile    string        `help:"File with the tokens of teams, operators and backend servers." env:"BRIARYARD_TOKENS_FILE"`
+	TokensFile    string        `help:"File with the tokens of teams, operators and backend servers; read again when it changes." env:"BRIARYARD_TOKENS_FILE"`
 	Tokens        string        `help:"The same as text." env:"BRIARYARD_TOKENS"`
+	BackendCA     string        `name:"backend-ca" help:"Certificate file (PEM) of the authority of the backend servers; with it calls to them use TLS. Read again when it changes." env:"BRIARYARD_BACKEND_CA"`
+	BackendFile   string        `name:"backend-token-file" help:"File with the bearer token of calls to backend servers; read again when it changes." env:"BRIARYARD_BACKEND_TOKEN_FILE"`
+	BackendToken  string        `help:"The same as text." env:"BRIARYARD_BACKEND_TOKEN"`
 	AddressTTL    time.Duration `name:"address-ttl" help:"How long callers may keep the list of addresses (1s to 5m). A stop waits this long." env:"BRIARYARD_ADDRESS_TTL" default:"5s"`
 	MaxBodyBytes  int64         `help:"Largest request body in bytes (1024 to 67108864)." env:"BRIARYARD_MAX_BODY_BYTES" default:"1048576"`
 	LogLevel      string        `help:"Lowest level of log events: debug, info, warn or error." env:"BRIARYARD_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
@@ -112,44 +114,16 @@
 		}
 	}
 	if given {
-		if _, err := trust.Load(s.files()); err != nil {
+		if _, err := trust.Load(s.files(nil)); err != nil {
 			bad("--tls-cert", err.Error())
 		}
 	}
-	if _, err := s.tokens(); err != nil {
+	if _, err := trust.LoadTokens(s.TokensFile, s.Tokens, nil); err != nil {
 		bad("--tokens", err.Error())
 	}
-}
-
-func (s *Settings) files() trust.Files {
-	return trust.Files{Cert: s.TLSCert, Key: s.TLSKey, Authority: s.TLSCA}
-}
-
-// tokens reads the tokens from the file and from the settings.
-func (s *Settings) tokens() (*trust.Tokens, error) {
-	text := s.Tokens
-	if s.TokensFile != "" {
-		data, err := os.ReadFile(s.TokensFile)
-		if err != nil {
-			return nil, &fault.InvalidSetting{Setting: "--tokens-file", Reason: err.Error()}
-		}
-		text += "\n" + string(data)
-	}
-	t, f := trust.ParseTokens(text)
-	if f != nil {
-		return nil, f
+	if _, err := trust.LoadOutgoing(s.outgoingFiles(nil)); err != nil {
+		bad("--backend-ca", err.Error())
 	}
-	return t, nil
-}
-
-// security returns what the listeners check. The settings have been checked.
-func (s *Settings) security() (trust.Configs, *trust.Tokens, error) {
-	t, err := s.tokens()
-	if err != nil || s.TLSCert == "" {
-		return trust.Configs{}, t, err
-	}
-	c, err := trust.Load(s.files())
-	return c, t, err
 }
 
 func isLoopback(host string) bool {
--- a/internal/event/operator.go
+++ b/internal/event/operator.go
@@ -12,4 +12,6 @@
 		"An operator asked this instance to stop gracefully.", "instance", "from")
 	OperatorVoters = define(5004, slog.LevelInfo, "operator.voters_changed",
 		"An operator asked for a change of the voters; code is empty when it was accepted.", "voter", "remove", "code")
+	TrustNotReloaded = define(5005, slog.LevelError, "trust.not_reloaded",
+		"Changed certificate or token files cannot be used; what was read before stays in use.", "files", "reason")
 )
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -12,6 +12,7 @@
 
 	"briaryard/internal/fault"
 	"briaryard/internal/httpserve"
+	"briaryard/internal/trust"
 )
 
 const (
@@ -29,7 +30,14 @@
 
 // NewClient returns a client that tries the addresses in order.
 func NewClient(addresses []string) *Client {
-	return &Client{addresses: addresses, http: &http.Client{Timeout: callTimeout}}
+	return NewSecuredClient(addresses, nil)
+}
+
+// NewSecuredClient returns a client whose calls are secured as outgoing says.
+func NewSecuredClient(addresses []string, outgoing *trust.Outgoing) *Client {
+	return &Client{addresses: addresses, http: &http.Client{
+		Timeout: callTimeout, Transport: outgoing.Transport(&http.Transport{}), CheckRedirect: trust.NoRedirects,
+	}}
 }
 
 // Addresses lists the addresses that the client tries.
--- a/internal/service/engineclient/client.go
+++ b/internal/service/engineclient/client.go
@@ -18,6 +18,7 @@
 	"briaryard/internal/fault"
 	"briaryard/internal/outcall"
 	"briaryard/internal/port"
+	"briaryard/internal/trust"
 )
 
 const (
@@ -35,13 +36,14 @@
 	maxState = 4096
 )
 
-// New returns the service.
-func New(log *event.Log) *outcall.Group {
+// New returns the service. The calls are secured as outgoing says.
+func New(log *event.Log, outgoing *trust.Outgoing) *outcall.Group {
 	c := &client{log: log, http: &http.Client{
-		Transport: &http.Transport{
+		Transport: outgoing.Transport(&http.Transport{
 			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives: true,
-		},
+		}),
+		CheckRedirect: trust.NoRedirects,
 	}}
 	return outcall.NewGroup(port.EngineClientName, c.call)
 }
--- a/internal/service/engineclient/client_test.go
+++ b/internal/service/engineclient/client_test.go
@@ -26,7 +26,7 @@
 // call runs one call against an address and returns its events after the end.
 func call(t *testing.T, address string, tokens int, disturb func()) []port.StreamEvent {
 	t.Helper()
-	g := engineclient.New(event.New(slog.New(slog.DiscardHandler)))
+	g := engineclient.New(event.New(slog.New(slog.DiscardHandler)), nil)
 	events := make(chan port.StreamEvent, 1024)
 	g.Attach(func(_ context.Context, e port.StreamEvent) error { events <- e; return nil })
 	k := kernel.New(func(err error) { t.Error(err) })
--- a/internal/service/peers/handshake.go
+++ b/internal/service/peers/handshake.go
@@ -53,7 +53,7 @@
 		DialContext(ctx context.Context, network, address string) (net.Conn, error)
 	} = &net.Dialer{}
 	if s.options.ClientTLS != nil {
-		dialer = &tls.Dialer{Config: s.options.ClientTLS}
+		dialer = &tls.Dialer{Config: s.options.ClientTLS()}
 	}
 	transport, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -38,7 +38,7 @@
 	Codecs map[string]port.Codec
 	// ServerTLS and ClientTLS protect the connections; nil for plain connections.
 	ServerTLS *tls.Config
-	ClientTLS *tls.Config
+	ClientTLS func() *tls.Config
 }
 
 type handler struct {
--- a/internal/service/plainclient/client.go
+++ b/internal/service/plainclient/client.go
@@ -13,6 +13,7 @@
 	"briaryard/internal/fault"
 	"briaryard/internal/outcall"
 	"briaryard/internal/port"
+	"briaryard/internal/trust"
 )
 
 const (
@@ -26,15 +27,15 @@
 	NotAdmittedHeader = "Briaryard-Not-Admitted"
 )
 
-// New returns the service.
-func New() *outcall.Group {
+// New returns the service. The calls are secured as outgoing says.
+func New(outgoing *trust.Outgoing) *outcall.Group {
 	c := &client{http: &http.Client{
 		Timeout: callTimeout,
-		Transport: &http.Transport{
+		Transport: outgoing.Transport(&http.Transport{
 			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives: true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}),
+		CheckRedirect: trust.NoRedirects,
 	}}
 	return outcall.NewGroup(port.PlainClientName, c.call)
 }
--- a/internal/standin/announce/announce.go
+++ b/internal/standin/announce/announce.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briaryard/internal/service/frontannounce"
+	"briaryard/internal/trust"
 )
 
 const (
@@ -18,7 +19,13 @@
 // Run announces to the first instance that answers, and from then on to that one until it
 // stops answering. The context ends it.
 func Run(ctx context.Context, instances []string, current func() frontannounce.Announcement) {
-	client := &http.Client{Timeout: timeout}
+	RunSecured(ctx, nil, instances, current)
+}
+
+// RunSecured is Run with TLS and a token as outgoing says.
+func RunSecured(ctx context.Context, outgoing *trust.Outgoing, instances []string, current func() frontannounce.Announcement) {
+	client := &http.Client{Timeout: timeout, Transport: outgoing.Transport(&http.Transport{}), CheckRedirect: trust.NoRedirects}
+	defer client.CloseIdleConnections()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	home := 0
--- a/internal/trust/doc.go
+++ b/internal/trust/doc.go
@@ -1,6 +1,8 @@
-// Package trust holds what the listeners and the connections between instances check: TLS
-// certificates from files, which are read again when they change, and tokens.
+// Package trust holds what the listeners and the connections between instances check, and
+// what outgoing calls carry: TLS certificates and tokens. Their files are read again when
+// they change.
 //
-// Tokens are kept as hashes, are compared in constant time, and never appear in a log or in
-// an error. When changed files cannot be read, the certificate in use stays in use.
+// Accepted tokens are kept as hashes and are compared in constant time. No token appears in a
+// log or in an error. When changed files cannot be used, what was last read stays in use and
+// the reason is reported.
 package trust
--- a/internal/trust/tls.go
+++ b/internal/trust/tls.go
@@ -4,47 +4,16 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
-	"sync"
 	"time"
 
 	"briaryard/internal/fault"
 )
 
-// checkEvery bounds how often the files are looked at.
-const checkEvery = time.Second
-
 // Files name a certificate, its key and the authority that the fleet shares.
-type Files struct{ Cert, Key, Authority string }
-
-// keyPair reads a certificate again when its file has changed.
-type keyPair struct {
-	files Files
-
-	mu      sync.Mutex
-	current *tls.Certificate
-	changed time.Time
-	checked time.Time
-}
-
-// get returns the certificate in the files, or the last good one.
-func (k *keyPair) get(now time.Time) (*tls.Certificate, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.current != nil && now.Sub(k.checked) < checkEvery {
-		return k.current, nil
-	}
-	k.checked = now
-	info, err := os.Stat(k.files.Cert)
-	if err == nil && (k.current == nil || !info.ModTime().Equal(k.changed)) {
-		var c tls.Certificate
-		if c, err = tls.LoadX509KeyPair(k.files.Cert, k.files.Key); err == nil {
-			k.current, k.changed = &c, info.ModTime()
-		}
-	}
-	if k.current == nil {
-		return nil, err
-	}
-	return k.current, nil
+type Files struct {
+	Cert, Key, Authority string
+	// Report is called when changed files cannot be used; nil reports nothing.
+	Report Report
 }
 
 // Configs are the TLS configurations of an instance.
@@ -52,33 +21,55 @@
 	// Listener is for callers, backend servers and operators.
 	Listener *tls.Config
 	// PeerServer and PeerClient are for connections between instances; both sides must
-	// hold a certificate of the shared authority.
+	// hold a certificate of the shared authority. PeerClient returns the configuration of
+	// the next connection. Both are nil for plain connections.
 	PeerServer *tls.Config
-	PeerClient *tls.Config
+	PeerClient func() *tls.Config
 }
 
 // Load reads the files once and returns configurations that follow their changes.
 func Load(f Files) (Configs, error) {
-	pair := &keyPair{files: f}
-	if _, err := pair.get(time.Now()); err != nil {
+	pair, err := watch(f.Report, func() (*tls.Certificate, error) {
+		c, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+		return &c, err
+	}, f.Cert, f.Key)
+	if err != nil {
 		return Configs{}, &fault.InvalidSetting{Setting: "--tls-cert", Reason: err.Error()}
 	}
-	server := func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return pair.get(time.Now()) }
-	client := func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return pair.get(time.Now()) }
-	pem, err := os.ReadFile(f.Authority)
+	pool, err := watchAuthority(f.Report, "--tls-ca", f.Authority)
 	if err != nil {
-		return Configs{}, &fault.InvalidSetting{Setting: "--tls-ca", Reason: err.Error()}
+		return Configs{}, err
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return Configs{}, &fault.InvalidSetting{Setting: "--tls-ca", Reason: "holds no certificate"}
+	server := func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return pair.get(time.Now()) }
+	client := func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return pair.get(time.Now()) }
+	peer := func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		trusted, err := pool.get(time.Now())
+		return &tls.Config{
+			MinVersion: tls.VersionTLS13, GetCertificate: server,
+			ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: trusted,
+		}, err
 	}
 	return Configs{
-		Listener: &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: server},
-		PeerServer: &tls.Config{
-			MinVersion: tls.VersionTLS13, GetCertificate: server,
-			ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
+		Listener:   &tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: server},
+		PeerServer: &tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: peer},
+		PeerClient: func() *tls.Config {
+			trusted, _ := pool.get(time.Now()) // cannot fail after the first read
+			return &tls.Config{MinVersion: tls.VersionTLS13, GetClientCertificate: client, RootCAs: trusted}
 		},
-		PeerClient: &tls.Config{MinVersion: tls.VersionTLS13, GetClientCertificate: client, RootCAs: pool},
 	}, nil
 }
+
+// watchAuthority reads the certificates of an authority.
+func watchAuthority(report Report, setting, path string) (*watched[*x509.CertPool], error) {
+	return watch(report, func() (*x509.CertPool, error) {
+		pem, err := os.ReadFile(path)
+		if err != nil {
+			return nil, &fault.InvalidSetting{Setting: setting, Reason: err.Error()}
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, &fault.InvalidSetting{Setting: setting, Reason: "holds no certificate"}
+		}
+		return pool, nil
+	}, path)
+}
--- a/internal/trust/tokens.go
+++ b/internal/trust/tokens.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
+	"os"
 	"strings"
+	"time"
 
 	"briaryard/internal/fault"
 	"briaryard/internal/httpserve"
@@ -65,11 +67,44 @@
 	return name, ok, open
 }
 
+// TokenSource holds the tokens of a file and of a setting, and follows changes of the file.
+type TokenSource struct{ current func() *Tokens }
+
+// LoadTokens reads the tokens. The file may be empty.
+func LoadTokens(path, text string, report Report) (*TokenSource, error) {
+	if path == "" {
+		t, f := ParseTokens(text)
+		if f != nil {
+			return nil, f
+		}
+		return &TokenSource{func() *Tokens { return t }}, nil
+	}
+	w, err := watch(report, func() (*Tokens, error) {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		t, f := ParseTokens(text + "\n" + string(data))
+		if f != nil {
+			return nil, f
+		}
+		return t, nil
+	}, path)
+	if err != nil {
+		return nil, &fault.InvalidSetting{Setting: "--tokens-file", Reason: err.Error()}
+	}
+	return &TokenSource{func() *Tokens {
+		t, _ := w.get(time.Now()) // cannot fail after the first read
+		return t
+	}}, nil
+}
+
 // Guard refuses requests without a token of the role. A team's token sets the team header,
 // and a request that names another team is refused.
-func (t *Tokens) Guard(role string) func(http.Handler) http.Handler {
+func (s *TokenSource) Guard(role string) func(http.Handler) http.Handler {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			t := s.current()
 			token, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 			name, ok, open := t.find(role, token)
 			if !open {
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -1,75 +1,20 @@
 package trust_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
+	"briaryard/internal/outcall"
 	"briaryard/internal/trust"
+	"briaryard/internal/trust/trusttest"
 )
 
-// authority signs certificates for loopback.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, _ := x509.ParseCertificate(der)
-	return &authority{cert, key}
-}
-
-// write puts a new certificate with the serial number into the folder.
-func (a *authority) write(t *testing.T, dir string, serial int64) trust.Files {
-	t.Helper()
-	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, _ := x509.MarshalECPrivateKey(key)
-	f := trust.Files{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), Authority: filepath.Join(dir, "ca")}
-	for path, block := range map[string]*pem.Block{
-		f.Key: {Type: "EC PRIVATE KEY", Bytes: keyDER}, f.Authority: {Type: "CERTIFICATE", Bytes: a.cert.Raw},
-		f.Cert: {Type: "CERTIFICATE", Bytes: der},
-	} {
-		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	return f
-}
-
 // handshake connects as an instance and returns the serial number of the certificate seen.
 func handshake(t *testing.T, server, client *tls.Config) (int64, error) {
 	t.Helper()
@@ -100,25 +45,25 @@
 // Guards against instances of another authority, and against a changed certificate that
 // needs a restart.
 func TestInstancesShareAnAuthorityAndReload(t *testing.T) {
-	a, dir := newAuthority(t), t.TempDir()
-	own, err := trust.Load(a.write(t, dir, 7))
+	a, dir := trusttest.NewAuthority(t), t.TempDir()
+	own, err := trust.Load(a.Write(t, dir, 7))
 	if err != nil {
 		t.Fatal(err)
 	}
-	other, err := trust.Load(newAuthority(t).write(t, t.TempDir(), 1))
+	other, err := trust.Load(trusttest.NewAuthority(t).Write(t, t.TempDir(), 1))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if serial, err := handshake(t, own.PeerServer, own.PeerClient); err != nil || serial != 7 {
+	if serial, err := handshake(t, own.PeerServer, own.PeerClient()); err != nil || serial != 7 {
 		t.Fatalf("serial %d: %v", serial, err)
 	}
-	if _, err := handshake(t, own.PeerServer, other.PeerClient); err == nil {
+	if _, err := handshake(t, own.PeerServer, other.PeerClient()); err == nil {
 		t.Fatal("an instance of another authority was accepted")
 	}
-	a.write(t, dir, 8)
+	a.Write(t, dir, 8)
 	limit := time.Now().Add(20 * time.Second)
 	for {
-		if serial, err := handshake(t, own.PeerServer, own.PeerClient); err == nil && serial == 8 {
+		if serial, err := handshake(t, own.PeerServer, own.PeerClient()); err == nil && serial == 8 {
 			return
 		}
 		if time.Now().After(limit) {
@@ -130,9 +75,9 @@
 
 // Guards against requests without a token, and against a team that acts as another.
 func TestGuardBindsTheTeamToTheToken(t *testing.T) {
-	tokens, f := trust.ParseTokens("# tokens\nteam studio s1\nteam partner p1\noperator o1\n")
-	if f != nil {
-		t.Fatal(f)
+	tokens, err := trust.LoadTokens("", "# tokens\nteam studio s1\nteam partner p1\noperator o1\n", nil)
+	if err != nil {
+		t.Fatal(err)
 	}
 	var seen string
 	echo := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen = r.Header.Get(trust.TeamHeader) })
@@ -164,3 +109,77 @@
 		}
 	}
 }
+
+// eventually waits until a condition holds; changed files are seen within a second.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(20 * time.Second); !holds(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Guards against tokens and authorities that need a restart to change, against a file in
+// the middle of a change that locks everyone out, and against a call that counts as sent
+// although its handshake failed.
+func TestOutgoingCallsFollowTheirFiles(t *testing.T) {
+	a, dir := trusttest.NewAuthority(t), t.TempDir()
+	files := a.Write(t, dir, 1)
+	configs, err := trust.Load(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	var reasons []string
+	accepted, err := trust.LoadTokens(put("accepted", "backend-server secret-1"), "", func(_ string, err error) { reasons = append(reasons, err.Error()) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(accepted.Guard(trust.RoleServer)(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+	server.Listener = tls.NewListener(server.Listener, configs.Listener)
+	server.Start()
+	defer server.Close()
+	outgoing, err := trust.LoadOutgoing(trust.OutgoingFiles{Authority: files.Authority, TokenFile: put("token", "secret-1\n")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: outgoing.Transport(&http.Transport{DisableKeepAlives: true}), CheckRedirect: trust.NoRedirects}
+	call := func() (int, error) {
+		response, err := client.Get("http://" + server.Listener.Addr().String())
+		if err != nil {
+			return 0, err
+		}
+		return response.StatusCode, response.Body.Close()
+	}
+	answers := func(status int) func() bool {
+		return func() bool { s, err := call(); return err == nil && s == status }
+	}
+	eventually(t, "the first token was refused", answers(200))
+	put("accepted", "backend-server secret-2, in the middle of a change")
+	eventually(t, "the unusable file was not reported", func() bool { _, _ = call(); return len(reasons) > 0 })
+	if s, err := call(); err != nil || s != 200 || strings.Contains(strings.Join(reasons, " "), "secret") {
+		t.Fatalf("status %d, error %v, reported %q", s, err, reasons)
+	}
+	put("accepted", "backend-server secret-3")
+	eventually(t, "the withdrawn token was still accepted", answers(401))
+	put("token", "secret-3")
+	eventually(t, "the new token was not sent", answers(200))
+	trusttest.NewAuthority(t).Write(t, dir, 2)
+	eventually(t, "a new certificate and authority were not used together", answers(200))
+	other := trusttest.NewAuthority(t).Write(t, t.TempDir(), 4)
+	stranger, err := trust.LoadOutgoing(trust.OutgoingFiles{Authority: other.Authority, Token: "secret-3"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client.Transport = stranger.Transport(&http.Transport{DisableKeepAlives: true})
+	if _, err := call(); !outcall.NotConnected(err) {
+		t.Fatalf("a server of another authority: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/trust/trusttest/doc.go
@@ -0,0 +1,2 @@
+// Package trusttest makes certificate files for tests. Nothing but tests uses it.
+package trusttest
