--- a/cmd/briaryard/operate.go
+++ b/cmd/briaryard/operate.go
@@ -41,13 +41,14 @@
 		}
 	}
 	p.line("control group: leader %s, voters %s\n", or(s.Leader, "unknown"), or(strings.Join(s.Voters, ", "), "unknown"))
-	revisions := make(map[string]uint64)
+	// A new leader has not heard from an instance yet, so its revision is unknown and not 0.
+	revisions := make(map[string]string)
 	for _, c := range s.Confirmed {
-		revisions[c.Instance] = c.Revision
+		revisions[c.Instance] = fmt.Sprint(c.Revision)
 	}
 	rows := [][]string{{"INSTANCE", "DOMAIN", "STATE", "REVISION", "VOTER", "WITHDRAWN"}}
 	for _, i := range s.Instances {
-		rows = append(rows, []string{i.ID, i.FailureDomain, i.State, fmt.Sprint(revisions[i.ID]), fmt.Sprint(i.Voter), fmt.Sprint(i.Withdrawn)})
+		rows = append(rows, []string{i.ID, i.FailureDomain, i.State, or(revisions[i.ID], "-"), fmt.Sprint(i.Voter), fmt.Sprint(i.Withdrawn)})
 	}
 	p.table(rows)
 	rows = [][]string{{"\nBACKEND SERVER", "KIND", "POOLS", "DOMAIN", "STATE", "SLOTS"}}
--- a/internal/metric/process.go
+++ b/internal/metric/process.go
@@ -10,5 +10,6 @@
 	Accepted       = define(KindGauge, "config_accepted_revision", "revisions", "", "Newest accepted configuration revision that this instance knows.")
 	EndedException = define(KindGauge, "config_exceptions_ended", "exceptions", "", "Exceptions in force whose end date has passed.")
 	ClaimLatency   = define(KindHistogram, "claim_latency", "microseconds", "", "Time from the claim of an idempotency key to the control group's answer.")
+	Withdrawn      = define(KindGauge, "withdrawn", "instances", "", "1 if this instance cannot confirm its configuration and refuses new requests, 0 if not.")
 	Unhealthy      = define(KindGauge, "services_unhealthy", "services", "", "Services of this instance that report a failure.")
 )
--- a/internal/service/frontoperator/picture.go
+++ b/internal/service/frontoperator/picture.go
@@ -119,6 +119,13 @@
 		}
 		s.metrics.Gauge(metric.LeaseHeld, l.Name).Update(held)
 	}
+	withdrawn := int64(0)
+	for i := range p.view.Instances {
+		if own := &p.view.Instances[i]; own.ID == s.options.Instance && own.Withdrawn {
+			withdrawn = 1
+		}
+	}
+	s.metrics.Gauge(metric.Withdrawn, "").Update(withdrawn)
 	ended := int64(0)
 	for i := range p.config.Exceptions {
 		if p.config.Exceptions[i].Ended(now) {
