--- a/internal/decide/member/machine.go
+++ b/internal/decide/member/machine.go
@@ -22,7 +22,7 @@
 	Remember = 10 * time.Minute
 	// SettleAfter ends the wait for another instance's view when none can be reached.
 	SettleAfter = 5 * time.Second
-	// DigestEvery is the interval of digests to a random peer.
+	// DigestEvery is the interval of digests, each to the next connected peer.
 	DigestEvery = time.Second
 )
 
--- a/internal/service/members/traffic_test.go
+++ b/internal/service/members/traffic_test.go
@@ -52,7 +52,7 @@
 }
 
 // start runs instances that know the first one and returns them with their traffic.
-func start(t *testing.T, n int) ([]*member, *atomic.Int64) {
+func start(t testing.TB, n int) ([]*member, *atomic.Int64) {
 	t.Helper()
 	bytes := new(atomic.Int64)
 	log := event.New(slog.New(slog.DiscardHandler))
@@ -103,7 +103,7 @@
 	return true
 }
 
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	limit := time.Now().Add(30 * time.Second)
 	for !condition() {
