--- a/examples/measure/fleet.sh
+++ b/examples/measure/fleet.sh
@@ -9,15 +9,16 @@
 NET=${NET:-127.40.100}
 FLEET=$(mktemp -d)
 pids=()
-trap 'kill "${pids[@]}" "${standins[@]}" 2>/dev/null || true; rm -rf "$FLEET"' EXIT
 standins=()
+# The next run uses the same addresses, so this one ends when its processes have ended.
+trap 'kill "${pids[@]}" "${standins[@]}" 2>/dev/null || true; wait; rm -rf "$FLEET"' EXIT
 go build -o "$FLEET/briaryard" ./cmd/briaryard
 PATH="$FLEET:$PATH"
 voters=5
 ((instances >= 5)) || voters=3
 BRIARYARD_VOTERS=$(seq -s, -f 'instance-%g' $voters)
 export BRIARYARD_VOTERS BRIARYARD_PEERS=$NET.1:8083,$NET.2:8083,$NET.3:8083 BRIARYARD_FLEET_TOKEN=measure
-export BRIARYARD_OPERATOR=$NET.1:8082 BRIARYARD_LOG_LEVEL=warn
+export BRIARYARD_OPERATOR=$NET.1:8082 BRIARYARD_LOG_LEVEL=warn BRIARYARD_ADDRESS_TTL=1s
 
 for n in $(seq "$instances"); do
   folder=
@@ -40,7 +41,7 @@
 sed -E 's/(rate_per_second|burst|concurrency|caller_concurrency): [0-9]+/\1: 5000/' examples/office/defaults.yaml >"$FLEET/defaults.yaml"
 sed -E 's/, caller_rate_per_second: [0-9]+//' examples/office/teams.yaml >"$FLEET/teams.yaml"
 until briaryard status 2>/dev/null | grep -q 'leader instance-'; do sleep 0.1; done
-briaryard config apply examples/office/{pools,exceptions}.yaml "$FLEET"/{defaults,teams}.yaml --operator measure --wait >/dev/null 2>&1
+briaryard config apply examples/office/{pools,exceptions}.yaml "$FLEET"/{defaults,teams}.yaml --operator measure >/dev/null 2>&1
 until [ "$(briaryard status | grep -Ec '^(notes|chat|summaries|booking)-.* alive ')" = "$servers" ]; do sleep 0.2; done
 sleep 3
 
--- a/internal/service/control/bench_test.go
+++ b/internal/service/control/bench_test.go
@@ -13,6 +13,8 @@
 	"briaryard/internal/decide/consensus"
 	"briaryard/internal/decide/state"
 	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/service/control"
 	"briaryard/internal/storage"
 	"briaryard/internal/wire/consensuswire"
 )
@@ -135,3 +137,39 @@
 		b.Fatal(err)
 	}
 }
+
+// BenchmarkHeartbeat measures the heartbeat exchange of an instance on the wire at rest: the
+// bytes of one request and its reply, without the frame around them. The reply names every
+// live instance, so its size grows with the fleet.
+func BenchmarkHeartbeat(b *testing.B) {
+	codec := control.NewCodec()
+	for _, n := range []int{4, 12, 24, 380} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			request := port.Heartbeat{Seq: 1 << 20, Incarnation: 1 << 60, Revision: 1000}
+			reply := port.HeartbeatReply{Seq: 1 << 20, Leader: "instance-1", Revision: 1000}
+			for k := range n {
+				id := model.InstanceID(fmt.Sprintf("instance-%d", k+1))
+				reply.Confirmed = append(reply.Confirmed, port.Confirmation{Instance: id, Revision: 1000})
+				if k < 5 {
+					reply.Voters = append(reply.Voters, id)
+				}
+				if k < 4 {
+					reply.Leases = append(reply.Leases, state.Lease{Name: fmt.Sprintf("dispatcher/pool-%d", k), Holder: id, Incarnation: 1 << 60, Epoch: 100})
+				}
+			}
+			size := 0
+			for b.Loop() {
+				up, err := codec.Encode(request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				down, err := codec.Encode(reply)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(up) + len(down)
+			}
+			b.ReportMetric(float64(size), "B/exchange")
+		})
+	}
+}
