Send the list of confirmations in one heartbeat answer out of eight

Cause: each answer named the revision of every instance: 7,395 B for an exchange at 380 instances, 29.6 KB/s for each instance against a target of 23. Change: one answer in eight carries the list; the client keeps the last one of a leader. The proving run takes its loopback addresses from the process id, because two runs at once disturbed each other.

--- a/internal/port/controlmsg.go
+++ b/internal/port/controlmsg.go
@@ -55,7 +55,8 @@
 		Leases []state.Lease
 		// Voters lists the instances that take part in the control group.
 		Voters []model.InstanceID
-		// Confirmed lists the revision that each live instance has in force.
+		// Confirmed lists the revision that each live instance has in force. It is set in some
+		// answers only.
 		Confirmed []Confirmation
 	}
 	// Confirmation is the revision that an instance has in force.
--- a/internal/proving/fleet_test.go
+++ b/internal/proving/fleet_test.go
@@ -27,8 +27,8 @@
 
 // shape describes a fleet.
 type shape struct {
-	// net is the first two parts of the loopback addresses, one for each spec, so that no
-	// connection of an earlier spec is taken for one of this spec.
+	// net is the first two parts of the loopback addresses. Each spec and each run has its
+	// own, so that no connection of another one is taken for one of this fleet.
 	net                        string
 	instances, voters, domains int
 	engines, bookings          int
@@ -57,6 +57,12 @@
 func (f *fleet) engineAddress(i int) string  { return fmt.Sprintf("%s.1.%d:9000", f.net, i) }
 func (f *fleet) bookingAddress(i int) string { return fmt.Sprintf("%s.2.%d:9000", f.net, i) }
 
+// network returns the addresses of the n-th spec of this run.
+func network(n int) string {
+	const first, runs, specs = 50, 60, 3
+	return fmt.Sprintf("127.%d", first+os.Getpid()%runs*specs+n)
+}
+
 // id returns names that sort like numbers: the smaller id keeps a doubled connection.
 func id(i int) string { return fmt.Sprintf("i%02d", i) }
 
--- a/internal/service/control/sessions.go
+++ b/internal/service/control/sessions.go
@@ -14,6 +14,11 @@
 // twice the time after which an instance that hears nothing from the control group withdraws.
 const ownerDeadAfter = 10 * time.Second
 
+// confirmationsEvery is the number of heartbeats of an instance for each answer that lists
+// the confirmations. With 380 instances the list has 7 KB; in every answer it would cost an
+// instance 30 KB/s.
+const confirmationsEvery = 8
+
 // tracked answers heartbeats with the decisions of a session.Tracker.
 type tracked struct {
 	options session.Options
@@ -44,6 +49,9 @@
 	reply := port.HeartbeatReply{
 		Seq: h.Seq, Config: answer.Config, Revision: answer.Revision, Leases: answer.Leases, Voters: answer.Voters,
 	}
+	if h.Seq%confirmationsEvery != 0 {
+		return reply, true
+	}
 	for _, c := range answer.Confirmed {
 		reply.Confirmed = append(reply.Confirmed, port.Confirmation{Instance: c.Instance, Revision: c.Revision, Stopping: c.Stopping})
 	}
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -61,6 +61,9 @@
 	machine  *controlcall.Machine
 	replies  map[uint64]do
 	released []func()
+	// reported is the leader of the last status, and confirmations the last list it sent.
+	reported      model.InstanceID
+	confirmations []port.Confirmation
 }
 
 // NewRemote returns the service. It asks the given voters until an answer names the current
--- a/internal/service/controlclient/status.go
+++ b/internal/service/controlclient/status.go
@@ -22,7 +22,14 @@
 	if b.NotLeader {
 		return
 	}
-	status := port.ControlStatus{Leader: leader, Leases: b.Leases, Voters: b.Voters, Confirmed: b.Confirmed}
+	if leader != r.reported {
+		// Another leader may not know all instances yet.
+		r.reported, r.confirmations = leader, nil
+	}
+	if b.Confirmed != nil {
+		r.confirmations = b.Confirmed
+	}
+	status := port.ControlStatus{Leader: leader, Leases: b.Leases, Voters: b.Voters, Confirmed: r.confirmations}
 	for _, sink := range r.statuses {
 		sink(status)
 	}
