Learn speeds from enough prompt work and pause failed servers

The first sample counted in full whatever its weight, so the bound on prompt work in flight did not act, and four prompts of 3,700 to 7,500 tokens went to e006 at once. An urgent request then waited 4.3 s behind them.

Change: prefill samples are averaged by weight, and a speed counts as known when the weights add up to one full sample (256 tokens). Until then a server gets one prompt at a time. A server whose call fails before its first token now gets no work for 250 ms, doubling with each failure in a row up to 3 s.

--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -184,6 +184,9 @@
 	if r == nil || r.phase != granted || r.grant.Server != g.Server || r.grant.Epoch != g.Epoch {
 		return
 	}
+	if g.Kind == model.ProgressFailed {
+		p.fleet.Failed(now, r.work)
+	}
 	p.fleet.Progress(r.work, g)
 	if g.Kind.Final() {
 		p.ended(now, r, g)
--- a/internal/decide/fleet/choose.go
+++ b/internal/decide/fleet/choose.go
@@ -38,7 +38,8 @@
 }
 
 // Choose returns the server with room that is expected to answer first, and whether it is
-// expected to end within the limit. It returns false in found when no window has room.
+// expected to end within the limit. It returns false in found when no server
+// that works has room.
 func (f *Fleet) Choose(now time.Time, d *model.Descriptor, domain model.FailureDomain, output float64, limit time.Duration) (e Estimate, inTime, found bool) {
 	f.collect(now, d, domain, output)
 	if len(f.candidates) == 0 {
@@ -100,6 +101,9 @@
 }
 
 func (f *Fleet) consider(now time.Time, s *server, d *model.Descriptor, domain model.FailureDomain, output float64) {
+	if now.Before(s.paused) {
+		return
+	}
 	e := estimate(now, s, d, domain, output)
 	score := (e.FirstToken + e.End).Seconds() / 2
 	if s.plain() {
@@ -134,14 +138,17 @@
 func (f *Fleet) Least(d *model.Descriptor, output float64) time.Duration {
 	least := -1.0
 	for _, g := range f.generations {
-		if g.unitSamples == 0 && g.prefillSamples == 0 {
+		if g.unitSamples == 0 && !g.known() {
 			continue
 		}
 		prompt := d.PromptTokens
 		if n := len(d.Prefix); n > 0 {
 			prompt = max(prompt-model.PrefixTokens(n-1), 1)
 		}
-		t := float64(prompt)*g.prefill + output*g.unit*2
+		t := output * g.unit * 2
+		if g.known() {
+			t += float64(prompt) * g.prefill
+		}
 		if least < 0 || t < least {
 			least = t
 		}
--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -140,6 +140,13 @@
 	return w
 }
 
+// Failed takes the time at which granted work failed. Progress follows.
+func (f *Fleet) Failed(now time.Time, w *Work) {
+	if w != nil && !w.started && !w.ended {
+		w.server.failed(now)
+	}
+}
+
 // Progress takes the course of granted work.
 func (f *Fleet) Progress(w *Work, p model.Progress) {
 	if w == nil || w.ended {
@@ -149,6 +156,9 @@
 	if !w.started && (p.Kind == model.ProgressFirstToken || p.Kind.Final()) {
 		w.started = true
 		s.pending -= w.uncached
+		if p.Kind != model.ProgressFailed && p.FirstToken > 0 {
+			s.pause = 0
+		}
 		if p.FirstToken > 0 && !s.plain() {
 			f.firstToken(s, w, p.FirstToken)
 		}
@@ -176,8 +186,8 @@
 	if weight < 0.1 {
 		return
 	}
-	s.speed.addPrefill(sample, serverRate*weight)
-	s.generation.addPrefill(sample, generationRate*weight)
+	s.speed.addPrefill(sample, weight, serverRate)
+	s.generation.addPrefill(sample, weight, generationRate)
 	if s.generation.prefillSamples >= enoughSamples {
 		s.law.Observe(Observation{Ratio: expected / took.Seconds(), InFlight: s.inFlight})
 	}
@@ -198,7 +208,7 @@
 
 // reference is the prompt cost of a healthy server of the generation.
 func (f *Fleet) reference(s *server) float64 {
-	if s.generation.prefillSamples > 0 {
+	if s.generation.known() {
 		return s.generation.prefill
 	}
 	return s.prefillCost()
--- a/internal/decide/fleet/fleet_test.go
+++ b/internal/decide/fleet/fleet_test.go
@@ -59,3 +59,42 @@
 	f.Cache(model.CacheEvent{Server: "a", Incarnation: 1, Seq: 4, Evicted: true, Prefix: 7})
 	g.Expect(saved()).To(BeZero())
 }
+
+// Guards against a speed learned from one short prompt that the engine had cached: nearly
+// no time for each token, after which several long prompts are sent to the engine at once.
+func TestShortPromptMeasuresNoSpeed(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.NewGradient, 1)
+	f.Set([]model.BackendServer{{ID: "a", Incarnation: 1, Slots: 16, Generation: "g"}})
+	d := &model.Descriptor{PromptTokens: 80, OutputTokens: 10}
+	w := f.Begin(start, d, model.Grant{Server: "a", Incarnation: 1})
+	f.Progress(w, model.Progress{Kind: model.ProgressFinished, FirstToken: 5 * time.Millisecond})
+	long := &model.Descriptor{PromptTokens: 5000, OutputTokens: 10}
+	f.Begin(start, long, model.Grant{Server: "a", Incarnation: 1})
+	_, _, found := f.Choose(start, long, "", 10, time.Hour)
+	g.Expect(found).To(BeFalse(), "a second long prompt must wait for the first answer")
+}
+
+// Guards against a dead server that refuses each call at once, looks idle and so takes the
+// next request too.
+func TestFailedServerGetsNoWorkForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	f := fleet.New(fleet.NewGradient, 1)
+	f.Set([]model.BackendServer{{ID: "a", Incarnation: 1, Slots: 16, Generation: "g"}})
+	d := &model.Descriptor{PromptTokens: 80, OutputTokens: 10}
+	found := func(after time.Duration) bool {
+		_, _, found := f.Choose(start.Add(after), d, "", 10, time.Hour)
+		return found
+	}
+	fail := func(after time.Duration) {
+		w := f.Begin(start.Add(after), d, model.Grant{Server: "a", Incarnation: 1})
+		f.Failed(start.Add(after), w)
+		f.Progress(w, model.Progress{Kind: model.ProgressFailed})
+	}
+	fail(0)
+	g.Expect(found(100 * time.Millisecond)).To(BeFalse())
+	g.Expect(found(300 * time.Millisecond)).To(BeTrue())
+	fail(300 * time.Millisecond)
+	g.Expect(found(600*time.Millisecond)).To(BeFalse(), "the second pause is longer")
+	g.Expect(found(900 * time.Millisecond)).To(BeTrue())
+}
--- a/internal/decide/fleet/server.go
+++ b/internal/decide/fleet/server.go
@@ -12,6 +12,11 @@
 	// learned speed. It covers the round trip of a grant; more would only lengthen the
 	// queue inside the engine, which knows no priority.
 	prefillDepth = 0.25
+	// failurePause is how long a server gets no work after a call to it failed before its
+	// first token. It doubles with each failure in a row, up to the time within which the
+	// membership removes a dead server. Without it, a dead server always looks idle.
+	failurePause    = 250 * time.Millisecond
+	maxFailurePause = 3 * time.Second
 	// adapterLoad is the assumed time to load an adapter.
 	adapterLoad = 0.5
 	// domainCrossing is the assumed round trip between failure domains, in seconds.
@@ -48,6 +53,9 @@
 	report model.LoadReport
 	since  int
 	cache  cache
+	// pause is the length of the present pause after a failure; it ends at paused.
+	pause  time.Duration
+	paused time.Time
 	// open is the server's index among the open ones or -1; free and counted are its parts
 	// of the fleet's sums.
 	open    int
@@ -84,7 +92,17 @@
 	}
 	// A server of unknown speed gets one prompt at a time: a new dispatcher cannot tell a
 	// slow engine from the others before its first answer.
-	return s.speed.prefillSamples > 0 && float64(s.pending)*s.prefillCost() < prefillDepth
+	return s.speed.known() && float64(s.pending)*s.prefillCost() < prefillDepth
+}
+
+// failed pauses grants after a call that failed before its first token.
+func (s *server) failed(now time.Time) {
+	if now.Before(s.paused) {
+		// Granted before the pause began.
+		return
+	}
+	s.pause = min(max(2*s.pause, failurePause), maxFailurePause)
+	s.paused = now.Add(s.pause)
 }
 
 // queued estimates the prompt tokens that the engine has yet to compute: the stale report
--- a/internal/decide/fleet/speed.go
+++ b/internal/decide/fleet/speed.go
@@ -26,10 +26,18 @@
 type speed struct {
 	prefill, unit               float64
 	prefillSamples, unitSamples int
+	// evidence is the sum of the weights of the prefill samples.
+	evidence float64
 }
 
-func (s *speed) addPrefill(sample, rate float64) {
-	s.prefill = blend(s.prefill, sample, rate, s.prefillSamples)
+// known reports whether the prefill samples add up to a full one. A few short prompts,
+// perhaps from a cache that the dispatcher does not know of, measure no speed.
+func (s *speed) known() bool { return s.evidence >= 1 }
+
+// addPrefill takes a sample of a weight between 0 and 1.
+func (s *speed) addPrefill(sample, weight, rate float64) {
+	s.evidence += weight
+	s.prefill += (sample - s.prefill) * weight * max(rate, 1/s.evidence)
 	s.prefillSamples++
 }
 
@@ -51,9 +59,9 @@
 // generation's, else the default.
 func (s *server) prefillCost() float64 {
 	switch {
-	case s.speed.prefillSamples > 0:
+	case s.speed.known():
 		return s.speed.prefill
-	case s.generation.prefillSamples > 0:
+	case s.generation.known():
 		return s.generation.prefill
 	}
 	return defaultPrefill.Seconds()
