Keep decisions that cannot be sent until they can

Cause: the dispatcher dropped a decision when the ring to the instance was full or its connection was not open. A dropped grant counted as outstanding, and a dropped eviction left its request waiting.

The tick sends them again; they are dropped when the instance is gone. A decision that finds no room is logged and remains lost.

--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -59,18 +59,21 @@
 	view   *model.View
 	config *model.Config
 	// table is the last lease table.
-	table []port.Lease
+	table  []port.Lease
+	outbox *outbox
 }
 
 // New returns the service.
 func New(log *event.Log) *Service {
-	return &Service{
+	s := &Service{
 		log:    log,
 		ring:   ring.New[message]("dispatcher", ringCapacity, ring.Refuse),
 		pools:  make(map[model.PoolID]*pool),
 		view:   &model.View{},
 		config: &model.Config{},
 	}
+	s.outbox = newOutbox(func(to model.InstanceID, body any) error { return s.peers.Send(to, port.DispatchName, body) })
+	return s
 }
 
 // Name implements kernel.Service.
@@ -146,6 +149,7 @@
 }
 
 func (s *Service) onTick(now time.Time) {
+	s.outbox.flush()
 	for id, p := range s.pools {
 		p.decide.Tick(now)
 		if !p.ready && now.Sub(p.asked) >= askAgain {
@@ -238,6 +242,11 @@
 	old := s.view
 	s.view = v
 	defer s.setLeases(now, s.table)
+	for _, was := range old.Instances {
+		if is, ok := v.Instance(was.ID); !ok || is.State == model.Gone || is.Incarnation > was.Incarnation {
+			s.outbox.drop(was.ID)
+		}
+	}
 	for id, p := range s.pools {
 		s.askNew(old, id, p)
 		p.decide.SetInstances(v.Instances)
@@ -332,9 +341,10 @@
 		e.Reason = evictReasons[d.Kind]
 		s.log.Emit(event.DispatchEvicted, request, id, d.Descriptor.Tier.String(), d.Descriptor.Team, d.Reason, d.Waiting)
 	}
-	// A decision that cannot be sent reaches an instance that is gone or cut off. Its
-	// request is freed when the membership removes the instance.
-	_ = s.peers.Send(d.Descriptor.ID.Instance, port.DispatchName, port.EventMessage{Event: e})
+	if !s.outbox.put(d.Descriptor.ID.Instance, port.EventMessage{Event: e}) {
+		// The request is freed when the membership removes the instance.
+		s.log.Emit(event.RingRefused, "dispatcher outbox", request)
+	}
 }
 
 var evictReasons = map[decide.Kind]port.EvictReason{
