Remove requests whose end was not reported on a repeated resync

Cause: a resync only added requests, so one whose final report was lost counted as outstanding for ever.

Change: grants are numbered for each instance and epoch. The state that an instance sends names the last grant received; the dispatcher removes what the state no longer lists, except later grants, which are still on their way.

--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -166,7 +166,9 @@
 	r.work = p.fleet.Begin(now, &r.desc, r.grant)
 	p.outstanding++
 	p.pace.began(now, r.desc.Tier)
-	p.emit(Decision{Kind: Granted, Descriptor: r.desc, Grant: r.grant, Reason: reason(e)})
+	p.sequences[r.desc.ID.Instance]++
+	r.sequence = p.sequences[r.desc.ID.Instance]
+	p.emit(Decision{Kind: Granted, Sequence: r.sequence, Descriptor: r.desc, Grant: r.grant, Reason: reason(e)})
 }
 
 // credit accounts a grant to the minimum shares of the tiers that wait.
--- a/internal/decide/dispatch/decision.go
+++ b/internal/decide/dispatch/decision.go
@@ -26,7 +26,9 @@
 	Kind       Kind
 	Descriptor model.Descriptor
 	// Grant is set with Granted.
-	Grant model.Grant
+	// Sequence numbers the grants to one instance, from 1.
+	Sequence uint64
+	Grant    model.Grant
 	// Reason says which rule and which figures decided, for the log.
 	Reason string
 	// Waiting and Outstanding are the pool's counts after the decision.
--- a/internal/decide/dispatch/order.go
+++ b/internal/decide/dispatch/order.go
@@ -34,7 +34,9 @@
 	followers []*request
 	leader    *request
 	grant     model.Grant
-	work      *fleet.Work
+	// sequence numbers the grant among those to the instance; 0 if another dispatcher made it.
+	sequence uint64
+	work     *fleet.Work
 	// prev and next link the requests of one instance.
 	prev, next *request
 }
--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -47,7 +47,9 @@
 	lastHeld time.Time
 	// expected lists the instances that have not been heard from since the pool was created.
 	expected map[model.InstanceID]struct{}
-	out      []Decision
+	// sequences numbers the grants to each instance.
+	sequences map[model.InstanceID]uint64
+	out       []Decision
 }
 
 // NewPool returns a pool that decides nothing until it has heard from the expected instances.
@@ -71,6 +73,7 @@
 		usages:     newUsages(),
 		pace:       newPace(),
 		expected:   make(map[model.InstanceID]struct{}),
+		sequences:  make(map[model.InstanceID]uint64),
 	}
 	for i := range p.tiers {
 		p.tiers[i].init()
--- a/internal/decide/dispatch/pool_test.go
+++ b/internal/decide/dispatch/pool_test.go
@@ -24,6 +24,7 @@
 	permitted   map[model.RequestID]int
 	seq         uint64
 	epoch       model.Epoch
+	seen        map[model.InstanceID]uint64
 	log         []string
 }
 
@@ -33,6 +34,7 @@
 		waiting:     make(map[model.RequestID]model.Descriptor),
 		outstanding: make(map[model.RequestID]dispatch.Outstanding),
 		granted:     make(map[model.RequestID]int),
+		seen:        make(map[model.InstanceID]uint64),
 		permitted:   make(map[model.RequestID]int),
 	}
 	w.config = &model.Config{
@@ -63,6 +65,7 @@
 		switch d.Kind {
 		case dispatch.Granted:
 			w.granted[id]++
+			w.seen[id.Instance] = d.Sequence
 			if w.granted[id] > w.permitted[id] {
 				t.Fatalf("%s granted %d times", id, w.granted[id])
 			}
@@ -127,28 +130,48 @@
 	w.pool.Report(w.now, p)
 }
 
+// state lists what an instance has.
+func (w *world) state(i model.InstanceID) (waiting []model.Descriptor, outstanding []dispatch.Outstanding) {
+	for _, id := range sorted(w.waiting) {
+		if id.Instance == i {
+			waiting = append(waiting, w.waiting[id])
+		}
+	}
+	for _, id := range sorted(w.outstanding) {
+		if id.Instance == i {
+			outstanding = append(outstanding, w.outstanding[id])
+		}
+	}
+	return waiting, outstanding
+}
+
+// loseReports ends the first waiting and the first outstanding request of an instance
+// without news of it, and sends the instance's state instead.
+func (w *world) loseReports(i model.InstanceID) {
+	waiting, outstanding := w.state(i)
+	if len(waiting) > 0 {
+		delete(w.waiting, waiting[0].ID)
+		waiting = waiting[1:]
+	}
+	if len(outstanding) > 0 {
+		delete(w.outstanding, outstanding[0].Grant.Request)
+		outstanding = outstanding[1:]
+	}
+	w.pool.Reconcile(w.now, i, w.seen[i], waiting, outstanding)
+}
+
 // replace starts another dispatcher; some messages arrive before the resyncs and one
 // resync arrives twice.
 func (w *world) replace(t interface{ Fatalf(string, ...any) }) {
 	w.epoch++
+	clear(w.seen)
 	instances := []model.InstanceID{"i0", "i1", "i2"}
 	w.pool = dispatch.NewPoolWith("m", w.epoch, instances, w.law, 7)
 	w.pool.SetConfig(w.now, w.config)
 	w.pool.SetServers(w.now, w.servers)
 	w.register(model.Urgent, "a", 100, time.Minute)
 	for n, i := range append(instances, "i1") {
-		var waiting []model.Descriptor
-		var outstanding []dispatch.Outstanding
-		for _, id := range sorted(w.waiting) {
-			if id.Instance == i {
-				waiting = append(waiting, w.waiting[id])
-			}
-		}
-		for _, id := range sorted(w.outstanding) {
-			if id.Instance == i {
-				outstanding = append(outstanding, w.outstanding[id])
-			}
-		}
+		waiting, outstanding := w.state(i)
 		w.pool.Resync(w.now, i, waiting, outstanding)
 		if n < len(instances)-1 && len(w.pool.Take()) > 0 {
 			t.Fatalf("decided before every instance had resynced")
--- /dev/null
+++ b/internal/decide/dispatch/reconcile.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"time"
+
+	"briaryard/internal/model"
+)
+
+// Reconcile takes an instance's requests as Resync does, and also removes those that the
+// instance no longer has, because a message about their end was lost. Seen is the sequence
+// of the last grant that the instance had received: later ones are still on their way.
+// Messages of one instance arrive in order, so every registration before the state is in it.
+func (p *Pool) Reconcile(now time.Time, from model.InstanceID, seen uint64, waits []model.Descriptor, outstanding []Outstanding) {
+	listed := make(map[model.RequestID]phase, len(waits)+len(outstanding))
+	for i := range waits {
+		listed[waits[i].ID] = waiting
+	}
+	for i := range outstanding {
+		listed[outstanding[i].Grant.Request] = granted
+	}
+	var missing []*request
+	for r := p.instances[from]; r != nil; r = r.next {
+		is, ok := listed[r.desc.ID]
+		if r.phase != granted && !ok || r.phase == granted && r.sequence <= seen && is != granted {
+			missing = append(missing, r)
+		}
+	}
+	for _, r := range missing {
+		// Concluding one request may have ended others with its key.
+		if p.requests[r.desc.ID] == r {
+			_, again := listed[r.desc.ID]
+			p.retire(r, again)
+		}
+	}
+	p.Resync(now, from, waits, outstanding)
+}
+
+// retire removes a request whose end was not reported. A granted one that waits again did
+// not run; of any other one it is not known, so its followers look the key up.
+func (p *Pool) retire(r *request, again bool) {
+	p.memory.add(r.desc.ID, ending{final: !again, grant: r.grant})
+	if r.phase == granted {
+		p.fleet.Progress(r.work, model.Progress{Request: r.desc.ID, Kind: model.ProgressCancelled})
+		if !again {
+			p.conclude(r)
+			p.forget(r)
+			return
+		}
+	}
+	p.drop(r)
+}
--- /dev/null
+++ b/internal/decide/dispatch/reconcile_test.go
@@ -0,0 +1,62 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"briaryard/internal/decide/dispatch"
+	"briaryard/internal/model"
+)
+
+// Guards against a request that counts as outstanding for ever because its final report was
+// lost, and against the removal of a grant that is still on its way.
+func TestReconcileRemovesOnlyWhatTheInstanceHasEnded(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		seen              uint64
+		listWaiting, list bool
+		want              int
+	}{
+		{"final report lost", 1, false, false, 0},
+		{"grant on its way", 0, true, false, 1},
+		{"in progress", 1, false, true, 1},
+		{"return lost, granted again", 1, true, false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(8)
+			d := w.register(model.Standard, "a", 100, 1e10)
+			out := w.pool.Take()
+			g.Expect(out).To(HaveLen(1))
+			g.Expect(out[0].Sequence).To(Equal(uint64(1)))
+			var waiting []model.Descriptor
+			var outstanding []dispatch.Outstanding
+			if c.listWaiting {
+				waiting = append(waiting, d)
+			}
+			if c.list {
+				outstanding = append(outstanding, dispatch.Outstanding{Grant: out[0].Grant, Descriptor: d})
+			}
+			w.pool.Reconcile(w.now, d.ID.Instance, c.seen, waiting, outstanding)
+			_, n := w.pool.Counts()
+			g.Expect(n).To(Equal(c.want))
+			if again := w.pool.Take(); c.listWaiting && c.seen > 0 {
+				g.Expect(again).To(HaveLen(1), "a request whose return was lost is granted again")
+			} else {
+				g.Expect(again).To(BeEmpty())
+			}
+		})
+	}
+}
+
+// Guards against a waiting request that stays in the order after its withdrawal was lost.
+func TestReconcileRemovesWithdrawnRequest(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(8)
+	w.pool.SetServers(w.now, nil)
+	d := w.register(model.Standard, "a", 100, 1e10)
+	w.pool.Reconcile(w.now, d.ID.Instance, 0, nil, nil)
+	waiting, _ := w.pool.Counts()
+	g.Expect(waiting).To(BeZero())
+}
--- a/internal/decide/dispatch/trace_test.go
+++ b/internal/decide/dispatch/trace_test.go
@@ -21,7 +21,7 @@
 	steps := rapid.IntRange(20, 200).Draw(t, "steps")
 	for range steps {
 		w.now = w.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
-		w.step(t, rapid.IntRange(0, 12).Draw(t, "step"))
+		w.step(t, rapid.IntRange(0, 13).Draw(t, "step"))
 		w.take(t)
 		w.checkCounts(t)
 	}
@@ -52,6 +52,8 @@
 		w.replace(t)
 	case step == 11:
 		w.instanceGone("i1")
+	case step == 12:
+		w.loseReports(rapid.SampledFrom([]model.InstanceID{"i0", "i1", "i2"}).Draw(t, "instance"))
 	default:
 		w.pool.Tick(w.now)
 	}
--- a/internal/port/dispatch.go
+++ b/internal/port/dispatch.go
@@ -34,7 +34,10 @@
 
 // EntryState lists one instance's requests of a pool for a new dispatcher.
 type EntryState struct {
-	Pool        model.PoolID
+	Pool model.PoolID
+	// Epoch and Sequence name the last grant that the instance received.
+	Epoch       model.Epoch
+	Sequence    uint64
 	Waiting     []model.Descriptor
 	Outstanding []Outstanding
 }
@@ -70,12 +73,14 @@
 
 // DispatchEvent is a dispatcher's decision about one request.
 type DispatchEvent struct {
-	Kind   DispatchKind
-	Grant  model.Grant
-	ID     model.RequestID
-	Pool   model.PoolID
-	Epoch  model.Epoch
-	Reason EvictReason
+	Kind DispatchKind
+	// Sequence numbers the grants of an epoch to one instance, from 1.
+	Sequence uint64
+	Grant    model.Grant
+	ID       model.RequestID
+	Pool     model.PoolID
+	Epoch    model.Epoch
+	Reason   EvictReason
 	// Tier and Deadline describe an evicted request.
 	Tier     model.Tier
 	Deadline time.Time
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -291,7 +291,12 @@
 	for _, o := range st.Outstanding {
 		outstanding = append(outstanding, decide.Outstanding{Grant: o.Grant, Descriptor: o.Descriptor})
 	}
-	p.decide.Resync(now, from, st.Waiting, outstanding)
+	seen := st.Sequence
+	if st.Epoch != p.epoch {
+		// The instance has received no grant of this dispatcher.
+		seen = 0
+	}
+	p.decide.Reconcile(now, from, seen, st.Waiting, outstanding)
 }
 
 func (s *Service) serverReport(now time.Time, r port.ServerReport) {
@@ -324,7 +329,7 @@
 
 func (s *Service) performOne(id model.PoolID, epoch model.Epoch, d decide.Decision) {
 	e := port.DispatchEvent{
-		ID: d.Descriptor.ID, Pool: id, Epoch: epoch, Grant: d.Grant,
+		ID: d.Descriptor.ID, Pool: id, Epoch: epoch, Grant: d.Grant, Sequence: d.Sequence,
 		Tier: d.Descriptor.Tier, Deadline: d.Descriptor.Deadline,
 	}
 	request := d.Descriptor.ID.String()
--- a/internal/service/entry/service.go
+++ b/internal/service/entry/service.go
@@ -27,6 +27,12 @@
 	tick = 50 * time.Millisecond
 )
 
+// grantMark names a grant by its dispatcher's epoch and its number.
+type grantMark struct {
+	epoch    model.Epoch
+	sequence uint64
+}
+
 // Service owns the requests of this instance.
 type Service struct {
 	log     *event.Log
@@ -43,6 +49,8 @@
 	// The fields below belong to the entry duty.
 	machine *decide.Machine
 	callers map[model.RequestID]*ring.Ring[model.AnswerEvent]
+	// seen is the last grant received for each pool.
+	seen    map[model.PoolID]grantMark
 	drained func()
 	// local holds messages that the duty sends to itself.
 	local []message
@@ -55,6 +63,7 @@
 		metrics: metrics,
 		ring:    ring.New[message]("entry", ringCapacity, ring.Block),
 		callers: make(map[model.RequestID]*ring.Ring[model.AnswerEvent]),
+		seen:    make(map[model.PoolID]grantMark),
 	}
 }
 
@@ -240,6 +249,7 @@
 func (s *Service) dispatched(now time.Time, e port.DispatchEvent) {
 	switch e.Kind {
 	case port.DispatchGranted:
+		s.seen[e.Pool] = grantMark{e.Epoch, e.Sequence}
 		s.perform(s.machine.Granted(now, e.Grant))
 	case port.DispatchEvicted:
 		s.perform(s.machine.Evicted(now, e.ID, evictionFault(e)))
@@ -285,7 +295,8 @@
 
 func (s *Service) sendState(pool model.PoolID) {
 	waiting, outstanding := s.machine.PoolState(pool)
-	st := port.EntryState{Pool: pool, Waiting: waiting}
+	seen := s.seen[pool]
+	st := port.EntryState{Pool: pool, Epoch: seen.epoch, Sequence: seen.sequence, Waiting: waiting}
 	for _, o := range outstanding {
 		st.Outstanding = append(st.Outstanding, port.Outstanding{Grant: o.Grant, Descriptor: o.Descriptor})
 	}
--- a/internal/wire/dispatchwire/codec_test.go
+++ b/internal/wire/dispatchwire/codec_test.go
@@ -26,7 +26,7 @@
 			FirstToken: time.Second, PerToken: time.Millisecond, Tokens: 7, PrefillTokens: 8,
 		}},
 		port.StateMessage{State: port.EntryState{
-			Pool: "notes", Waiting: []model.Descriptor{d}, Outstanding: []port.Outstanding{{Grant: g, Descriptor: d}},
+			Pool: "notes", Epoch: 5, Sequence: 6, Waiting: []model.Descriptor{d}, Outstanding: []port.Outstanding{{Grant: g, Descriptor: d}},
 		}},
 		port.ServerReportMessage{Report: port.ServerReport{
 			Pools: []model.PoolID{"notes"},
@@ -34,7 +34,7 @@
 			Cache: []model.CacheEvent{{Server: "e1", Incarnation: 4, Seq: 9, Evicted: true, Prefix: 1, Tokens: 64}},
 		}},
 		port.EventMessage{Event: port.DispatchEvent{
-			Kind: port.DispatchGranted, Grant: g, ID: id, Pool: "notes", Epoch: 5, Tier: model.Batch, Deadline: now.Add(time.Minute),
+			Kind: port.DispatchGranted, Sequence: 6, Grant: g, ID: id, Pool: "notes", Epoch: 5, Tier: model.Batch, Deadline: now.Add(time.Minute),
 		}},
 		port.StateRequest{Pool: "notes", Epoch: 5},
 	}
--- a/internal/wire/dispatchwire/decode.go
+++ b/internal/wire/dispatchwire/decode.go
@@ -131,7 +131,7 @@
 }
 
 func (d *decoder) state(s *pb.EntryState) port.EntryState {
-	out := port.EntryState{Pool: d.pool(s.GetPool())}
+	out := port.EntryState{Pool: d.pool(s.GetPool()), Epoch: model.Epoch(s.GetEpoch()), Sequence: s.GetSequence()}
 	for _, w := range s.GetWaiting() {
 		out.Waiting = append(out.Waiting, d.descriptor(w))
 	}
@@ -174,6 +174,7 @@
 		ID:   d.request(e.GetId()), Pool: d.pool(e.GetPool()), Epoch: model.Epoch(e.GetEpoch()),
 		Reason: port.EvictReason(d.kind(e.GetReason(), uint32(port.EvictNoServer))),
 		Tier:   d.tier(e.GetTier()), Deadline: d.now.Add(d.span(e.GetRemainingUs())),
+		Sequence: e.GetSequence(),
 	}
 	if out.Kind == port.DispatchGranted {
 		out.Grant = d.grant(e.GetGrant())
--- a/internal/wire/dispatchwire/encode.go
+++ b/internal/wire/dispatchwire/encode.go
@@ -47,7 +47,7 @@
 }
 
 func (e encoder) state(s port.EntryState) *pb.EntryState {
-	out := &pb.EntryState{Pool: string(s.Pool)}
+	out := &pb.EntryState{Pool: string(s.Pool), Epoch: uint64(s.Epoch), Sequence: s.Sequence}
 	for _, d := range s.Waiting {
 		out.Waiting = append(out.Waiting, e.descriptor(d))
 	}
@@ -81,5 +81,6 @@
 	return &pb.Event{
 		Kind: uint32(v.Kind), Grant: grant(v.Grant), Id: requestID(v.ID), Pool: string(v.Pool), Epoch: uint64(v.Epoch),
 		Reason: uint32(v.Reason), Tier: uint32(v.Tier), RemainingUs: e.remaining(v.Deadline),
+		Sequence: v.Sequence,
 	}
 }
