Leave an instance out of the address list until its configuration is confirmed

Cause: an instance that had just started was listed before its first confirmation; a keyed request sent to it was refused as withdrawn, once in 1190 requests of a rolling restart. Change: the own membership record begins as withdrawn.

--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -138,6 +138,8 @@
 		Domain: model.FailureDomain(s.FailureDomain), PeerAddress: cmp.Or(s.AdvPeer, s.PeerAddress),
 		CallerAddress: cmp.Or(s.AdvCaller, s.CallerAddress), ServerAddress: cmp.Or(s.AdvServer, s.ServerAddress),
 		OperatorAddress: cmp.Or(s.AdvOperator, s.OperAddress), Voter: s.DataFolder != "",
+		// Callers are sent here once the configuration is confirmed.
+		Withdrawn: true,
 	}
 }
 
