--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -88,38 +88,31 @@
 
 // pick returns the next request in order, or nil.
 func (p *Pool) pick(now time.Time) *request {
-	free := float64(p.fleet.Free())
-	reserve := 0.0
 	first := -1
 	for i := range p.tiers {
 		t := &p.tiers[i]
-		if t.starts.len() > 0 && (free > reserve || i == 0) {
+		if t.starts.len() > 0 {
 			first = i
 			break
 		}
-		reserve += p.headroom(now, model.Tier(i))
 	}
 	if first < 0 {
 		return nil
 	}
-	if lower := p.entitled(now, first, free); lower >= 0 {
+	if lower := p.entitled(now, first); lower >= 0 {
 		first = lower
 	}
 	return p.fairer(p.tiers[first].starts.top().deadlines.top())
 }
 
-// headroom is the room kept free for arrivals of a tier that lower tiers must not use.
-func (p *Pool) headroom(time.Time, model.Tier) float64 { return 0 }
-
 // entitled returns a tier below the first that is owed part of its minimum share, if every
 // more urgent request can wait for it without missing its deadline; else -1.
-func (p *Pool) entitled(now time.Time, first int, free float64) int {
+func (p *Pool) entitled(now time.Time, first int) int {
 	ahead := int64(0)
 	slack := time.Duration(1<<63 - 1)
-	reserve := 0.0
 	for i := range p.tiers {
 		t := &p.tiers[i]
-		if i > first && t.starts.len() > 0 && t.credit > 0 && free > reserve {
+		if i > first && t.starts.len() > 0 && t.credit > 0 {
 			cost := ahead + t.starts.top().deadlines.top().cost
 			if p.pace.rate > 0 && slack.Seconds() > slackFactor*float64(cost)/p.pace.rate {
 				return i
@@ -129,7 +122,6 @@
 			slack = min(slack, t.useful.top().useful.Sub(now))
 		}
 		ahead += t.backlog
-		reserve += p.headroom(now, model.Tier(i))
 	}
 	return -1
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -49,6 +49,30 @@
 	return v, nil
 }
 
+// Binding is a name that a service resolves, with the variable that receives the service.
+type Binding func(r Resolver) error
+
+// Into binds the service registered under name to a variable.
+func Into[T any](name string, target *T) Binding {
+	return func(r Resolver) error {
+		v, err := Resolve[T](r, name)
+		if err == nil {
+			*target = v
+		}
+		return err
+	}
+}
+
+// Bind resolves several names and returns the first failure.
+func (r Resolver) Bind(bindings ...Binding) error {
+	for _, b := range bindings {
+		if err := b(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Kernel registers services and runs their life cycle.
 type Kernel struct {
 	services map[string]Service
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -84,20 +84,20 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	var err error
-	if s.peers, err = kernel.Resolve[port.Peers](r, port.PeersName); err != nil {
-		return err
-	}
-	members, err := kernel.Resolve[port.Members](r, port.MembersName)
+	var (
+		members port.Members
+		control port.ControlClient
+	)
+	err := r.Bind(
+		kernel.Into(port.PeersName, &s.peers),
+		kernel.Into(port.MembersName, &members),
+		kernel.Into(port.ControlClientName, &control),
+	)
 	if err != nil {
 		return err
 	}
 	// A load report that finds no room is dropped: the next one replaces it.
 	members.SubscribeReports(func(report port.ServerReport) { _ = s.ring.Offer(serverReport{report}) })
-	control, err := kernel.Resolve[port.ControlClient](r, port.ControlClientName)
-	if err != nil {
-		return err
-	}
 	control.SubscribeLeases(func(l []port.Lease) { s.put(leases{l}) })
 	s.peers.Handle(port.DispatchName, dispatchwire.New(), func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
 	return nil
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -86,19 +86,17 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	var err error
-	if s.peers, err = kernel.Resolve[port.Peers](r, port.PeersName); err != nil {
-		return err
-	}
-	members, err := kernel.Resolve[port.Members](r, port.MembersName)
-	if err != nil {
-		return err
-	}
-	control, err := kernel.Resolve[port.ControlClient](r, port.ControlClientName)
-	if err != nil {
-		return err
-	}
-	config, err := kernel.Resolve[port.Config](r, port.ConfigName)
+	var (
+		members port.Members
+		control port.ControlClient
+		config  port.Config
+	)
+	err := r.Bind(
+		kernel.Into(port.PeersName, &s.peers),
+		kernel.Into(port.MembersName, &members),
+		kernel.Into(port.ControlClientName, &control),
+		kernel.Into(port.ConfigName, &config),
+	)
 	if err != nil {
 		return err
 	}
--- a/internal/service/entry/service.go
+++ b/internal/service/entry/service.go
@@ -77,27 +77,22 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	peers, err := kernel.Resolve[port.Peers](r, port.PeersName)
+	var (
+		peers   port.Peers
+		members port.Members
+		config  port.Config
+	)
+	err := r.Bind(
+		kernel.Into(port.PeersName, &peers),
+		kernel.Into(port.MembersName, &members),
+		kernel.Into(port.ControlClientName, &s.control),
+		kernel.Into(port.ConfigName, &config),
+		kernel.Into(port.DispatchName, &s.dispatch),
+		kernel.Into(port.TransferName, &s.transfer),
+	)
 	if err != nil {
 		return err
 	}
-	members, err := kernel.Resolve[port.Members](r, port.MembersName)
-	if err != nil {
-		return err
-	}
-	if s.control, err = kernel.Resolve[port.ControlClient](r, port.ControlClientName); err != nil {
-		return err
-	}
-	config, err := kernel.Resolve[port.Config](r, port.ConfigName)
-	if err != nil {
-		return err
-	}
-	if s.dispatch, err = kernel.Resolve[port.Dispatch](r, port.DispatchName); err != nil {
-		return err
-	}
-	if s.transfer, err = kernel.Resolve[port.Transfer](r, port.TransferName); err != nil {
-		return err
-	}
 	s.self, s.incarnation = peers.Self()
 	s.machine = decide.New(s.self)
 	members.Subscribe(func(v *model.View) { s.put(viewed{v}) })
--- a/internal/service/frontcaller/service.go
+++ b/internal/service/frontcaller/service.go
@@ -54,11 +54,11 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	var err error
-	if s.entry, err = kernel.Resolve[port.Entry](r, port.EntryName); err != nil {
-		return err
-	}
-	members, err := kernel.Resolve[port.Members](r, port.MembersName)
+	var members port.Members
+	err := r.Bind(
+		kernel.Into(port.EntryName, &s.entry),
+		kernel.Into(port.MembersName, &members),
+	)
 	if err != nil {
 		return err
 	}
--- a/internal/service/frontoperator/service.go
+++ b/internal/service/frontoperator/service.go
@@ -72,17 +72,18 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	members, err := kernel.Resolve[port.Members](r, port.MembersName)
+	var (
+		members port.Members
+		config  port.Config
+	)
+	err := r.Bind(
+		kernel.Into(port.MembersName, &members),
+		kernel.Into(port.ConfigName, &config),
+		kernel.Into(port.ControlClientName, &s.control),
+	)
 	if err != nil {
 		return err
 	}
-	config, err := kernel.Resolve[port.Config](r, port.ConfigName)
-	if err != nil {
-		return err
-	}
-	if s.control, err = kernel.Resolve[port.ControlClient](r, port.ControlClientName); err != nil {
-		return err
-	}
 	members.Subscribe(func(v *model.View) { s.offer(viewed{v}) })
 	config.Subscribe(func(c *model.Config) { s.offer(inForce{c}) })
 	s.control.SubscribeConfig(func(c acceptedConfig) { s.offer(accepted{c}) })
--- a/internal/service/lifecycle/service.go
+++ b/internal/service/lifecycle/service.go
@@ -55,19 +55,18 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	peers, err := kernel.Resolve[port.Peers](r, port.PeersName)
+	var peers port.Peers
+	err := r.Bind(
+		kernel.Into(port.PeersName, &peers),
+		kernel.Into(port.EntryName, &s.entry),
+		kernel.Into(port.MembersName, &s.members),
+		kernel.Into(port.ControlClientName, &s.control),
+	)
 	if err != nil {
 		return err
 	}
 	s.self, _ = peers.Self()
-	if s.entry, err = kernel.Resolve[port.Entry](r, port.EntryName); err != nil {
-		return err
-	}
-	if s.members, err = kernel.Resolve[port.Members](r, port.MembersName); err != nil {
-		return err
-	}
-	s.control, err = kernel.Resolve[port.ControlClient](r, port.ControlClientName)
-	return err
+	return nil
 }
 
 // Start implements kernel.Service.
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -69,11 +69,11 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	var err error
-	if s.peers, err = kernel.Resolve[port.Peers](r, port.PeersName); err != nil {
-		return err
-	}
-	if s.links, err = kernel.Resolve[port.PeerLinks](r, port.PeersName); err != nil {
+	err := r.Bind(
+		kernel.Into(port.PeersName, &s.peers),
+		kernel.Into(port.PeersName, &s.links),
+	)
+	if err != nil {
 		return err
 	}
 	_, s.self.Incarnation = s.peers.Self()
--- a/internal/service/transfer/service.go
+++ b/internal/service/transfer/service.go
@@ -76,11 +76,11 @@
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	var err error
-	if s.engine, err = kernel.Resolve[port.BackendClient](r, port.EngineClientName); err != nil {
-		return err
-	}
-	if s.plain, err = kernel.Resolve[port.BackendClient](r, port.PlainClientName); err != nil {
+	err := r.Bind(
+		kernel.Into(port.EngineClientName, &s.engine),
+		kernel.Into(port.PlainClientName, &s.plain),
+	)
+	if err != nil {
 		return err
 	}
 	sink := func(ctx context.Context, e port.StreamEvent) error { return s.ring.Put(ctx, streamed{e}) }
