State the base of each change in the proving run

Cause: an instance knows a new revision at its next heartbeat, so a change applied at once without a base conflicted, as it should. Change: the spec states the base.

--- a/internal/proving/claims_test.go
+++ b/internal/proving/claims_test.go
@@ -115,7 +115,7 @@
 		for n := range changes {
 			changed := strings.Replace(config, "max_tokens: 512", fmt.Sprintf("max_tokens: %d", 600+n), 1)
 			Expect(os.WriteFile(file, []byte(changed), 0o600)).To(Succeed())
-			out, err := run("config", "apply", "--address", f.operators(1)+","+f.operators(2), "--operator", "proving", file)
+			out, err := run("config", "apply", "--address", f.operators(1)+","+f.operators(2), "--operator", "proving", "--base", fmt.Sprint(n+1), file)
 			Expect(err).NotTo(HaveOccurred(), out)
 		}
 		for _, i := range []int{3, 5} {
