Refuse connections of a link that the other instance has given up

At start an instance can forget a link and open a new one while a dial of the old one is still under way; when the old connection arrived last, it replaced the newer one, and the receiver forgot which messages of the newer link it had. Change: link numbers grow within a process, and a connection with a smaller number than the known one is refused. A gap that still occurs makes the receiver open a new link, which starts the numbering again.

--- a/internal/service/peers/link.go
+++ b/internal/service/peers/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +54,8 @@
 type link struct {
 	service *Service
 	id      model.InstanceID
-	// nonce identifies this link's numbering state to the other side.
+	// nonce identifies this link's numbering state to the other side. A later link of the
+	// same incarnation has a larger one.
 	nonce uint64
 	out   *ring.Ring[outgoing]
 	// sendConns and recvConns carry the connection to use.
@@ -70,7 +70,7 @@
 func newLink(s *Service, id model.InstanceID) *link {
 	name := string(id)
 	l := &link{
-		service: s, id: id, nonce: rand.Uint64() | 1,
+		service: s, id: id, nonce: s.nextNonce(),
 		out:       ring.New[outgoing]("peer-send/"+name, sendCapacity, ring.Refuse),
 		sendConns: ring.New[*conn]("peer-connection/"+name, 1, ring.ReplaceOldest),
 		recvConns: ring.New[*conn]("peer-connection/"+name, 1, ring.ReplaceOldest),
@@ -83,6 +83,17 @@
 	return l
 }
 
+// nextNonce returns a number that is larger than every earlier one of this process.
+func (s *Service) nextNonce() uint64 {
+	for {
+		last := s.lastNonce.Load()
+		next := max(last+1, uint64(time.Now().UnixNano()))
+		if s.lastNonce.CompareAndSwap(last, next) {
+			return next
+		}
+	}
+}
+
 // use makes both duties continue on a connection.
 func (l *link) use(c *conn) {
 	l.incarnation.Store(uint64(c.remote.Incarnation))
--- a/internal/service/peers/receive.go
+++ b/internal/service/peers/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"briaryard/internal/event"
@@ -18,6 +19,13 @@
 	roomPause   = 10 * time.Millisecond
 )
 
+// gapError reports that messages between the last received one and the next are missing.
+type gapError struct{ received, next uint64 }
+
+func (e *gapError) Error() string {
+	return fmt.Sprintf("message %d follows %d", e.next, e.received)
+}
+
 // receiver is the receiving duty of a link.
 type receiver struct {
 	link *link
@@ -38,7 +46,8 @@
 		heard, err := r.receive(ctx, d, c)
 		stop()
 		c.close()
-		r.link.service.post(lost{conn: c, lastHeard: heard, reason: err.Error()})
+		_, gap := err.(*gapError)
+		r.link.service.post(lost{conn: c, lastHeard: heard, reason: err.Error(), gap: gap})
 	}
 }
 
@@ -94,7 +103,7 @@
 	case id <= r.progress.received:
 		return nil
 	case id != r.progress.received+1:
-		return &fault.PeerProtocol{Reason: "message ids have a gap"}
+		return &gapError{received: r.progress.received, next: id}
 	}
 	if err := r.deliver(ctx, m); err != nil {
 		return err
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -56,6 +56,8 @@
 	incarnation atomic.Uint64
 	// known is the highest incarnation of this instance that others have seen.
 	known atomic.Uint64
+	// lastNonce is the number of the newest link.
+	lastNonce atomic.Uint64
 	// handlers does not change after Provision.
 	handlers map[string]handler
 	// statuses belongs to the "peers" duty once it runs.
--- a/internal/service/peers/table.go
+++ b/internal/service/peers/table.go
@@ -37,6 +37,8 @@
 	conn      *conn
 	lastHeard time.Time
 	reason    string
+	// gap is set when the connection ended because messages are missing.
+	gap bool
 }
 
 // quiet is a connection on which nothing has arrived for a while.
@@ -68,6 +70,8 @@
 	wanted bool
 	// abandoned is the last connection that was given up.
 	abandoned uint64
+	// remoteLink is the newest link number that the other side has shown in its incarnation.
+	remoteLink uint64
 }
 
 // attempt is the state of dialing one address.
@@ -146,6 +150,10 @@
 		return "", 0
 	case c.remote.Incarnation < p.record.Incarnation:
 		return fault.RefusedIncarnation, p.record.Incarnation
+	case c.remote.Incarnation == p.record.Incarnation && c.remoteLink != 0 && c.remoteLink < p.remoteLink:
+		// A connection of a link that the other side has given up since. Using it would make
+		// the receiver forget which messages of the newer link it has.
+		return fault.RefusedDuplicate, 0
 	case p.conn == nil || c.remote.Incarnation > p.record.Incarnation || t.replaces(c, p.conn):
 		return "", 0
 	}
@@ -232,7 +240,7 @@
 		p.abandoned = p.conn.id
 		p.conn.close()
 	}
-	p.conn, p.record = c, c.remote
+	p.conn, p.record, p.remoteLink = c, c.remote, c.remoteLink
 	if c.remote.PeerAddress != "" {
 		p.address = c.remote.PeerAddress
 	}
@@ -272,6 +280,13 @@
 	p.conn = nil
 	p.abandoned = l.conn.id
 	t.service.log.Emit(event.PeerDown, p.record.ID, p.record.Incarnation, l.reason)
+	if l.gap {
+		// The two sides disagree about the numbering. A new link makes the other side begin
+		// again at one; what it believes to be delivered and is not, is lost.
+		p.link.end()
+		p.link = newLink(t.service, p.record.ID)
+		t.publish()
+	}
 }
 
 // status reports a change of the connection in use.
