--- a/internal/load/judge.go
+++ b/internal/load/judge.go
@@ -25,8 +25,8 @@
 	// whole the keys that were answered whole.
 	notRun map[string]bool
 	whole  map[string]bool
-	// lost describes the first lost requests.
-	lost []string
+	// examples describes the first broken promises.
+	examples []Example
 }
 
 type tierCount struct {
@@ -38,8 +38,8 @@
 	// maxLatencyMicros bounds the histograms at ten minutes.
 	maxLatencyMicros = 600_000_000
 	significantDigit = 3
-	// maxLost bounds the lost requests that a report describes.
-	maxLost = 20
+	// maxExamples bounds the broken promises that a report describes.
+	maxExamples = 20
 )
 
 func newJudge() *judge {
@@ -68,15 +68,22 @@
 	j.counts.NotSent++
 }
 
+// example keeps the description of a broken promise.
+func (j *judge) example(promise, id, detail string) {
+	if len(j.examples) < maxExamples {
+		j.examples = append(j.examples, Example{Promise: promise, ID: id, Detail: detail})
+	}
+}
+
 // attempt records one attempt.
-func (j *judge) attempt(_ *arrival, a attempt, n int) {
+func (j *judge) attempt(arrived *arrival, a attempt, n int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts.Attempts++
 	if n > 0 {
 		j.counts.Retries++
 	}
-	j.record(a)
+	j.record(arrived, a)
 }
 
 // extra records an attempt of an impatient caller beside its main one.
@@ -85,18 +92,21 @@
 	defer j.mu.Unlock()
 	j.counts.Attempts++
 	j.counts.Extra++
-	j.record(e)
+	j.record(a, e)
 	if e.outcome == whole {
 		j.whole[a.key] = true
 	}
 }
 
-func (j *judge) record(a attempt) {
+func (j *judge) record(arrived *arrival, a attempt) {
+	describe := func() string { return fmt.Sprintf("%s %s at %s", arrived.class.Name, arrived.key, a.address) }
 	switch a.outcome {
 	case cut:
 		j.counts.Cut++
+		j.example("cut", a.request, describe())
 	case mixed:
 		j.counts.Mixed++
+		j.example("mixed", a.request, describe())
 	case broken:
 		j.counts.Broken++
 		j.broken[a.address]++
@@ -133,9 +143,7 @@
 		}
 	case broken:
 		j.counts.Lost++
-		if len(j.lost) < maxLost {
-			j.lost = append(j.lost, fmt.Sprintf("%s %s at %s after %s", a.class.Name, a.key, last.address, took.Round(time.Millisecond)))
-		}
+		j.example("lost", last.request, fmt.Sprintf("%s %s at %s after %s", a.class.Name, a.key, last.address, took.Round(time.Millisecond)))
 	case cut, mixed:
 	}
 }
@@ -178,23 +186,27 @@
 func (j *judge) report(o Options, e execution) *Report {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	rep := &Report{Mix: o.Mix.Name, Seed: o.Seed, Rate: o.Rate, Seconds: o.Duration.Seconds(), Counts: j.counts, Refusals: j.codes, BrokenAt: j.broken, Lost: j.lost}
+	rep := &Report{Mix: o.Mix.Name, Seed: o.Seed, Rate: o.Rate, Seconds: o.Duration.Seconds(), Counts: j.counts, Refusals: j.codes, BrokenAt: j.broken}
 	for name, n := range e.Executed {
 		if n > 1 {
 			rep.Counts.Doubled++
+			j.example("doubled", name, fmt.Sprintf("executed %d times", n))
 		}
 		if n > 0 && j.notRun[name] {
 			rep.Counts.FalseNotRun++
+			j.example("false not_run", name, fmt.Sprintf("executed %d times", n))
 		}
 	}
 	if len(o.Executions) > 0 {
 		for key := range j.whole {
 			if key != "" && e.Executed[key] == 0 {
 				rep.Counts.NotExecuted++
+				j.example("not executed", key, "answered whole")
 			}
 		}
 	}
 	rep.Counts.AfterLeaving = e.AfterLeaving
+	rep.Examples = j.examples
 	for name, t := range j.tiers {
 		rep.Tiers = append(rep.Tiers, t.summary(name))
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -57,8 +57,16 @@
 	Tiers    []TierReport   `json:"tiers"`
 	Refusals map[string]int `json:"refusals"`
 	BrokenAt map[string]int `json:"broken_at"`
-	// Lost describes the first lost requests.
-	Lost []string `json:"lost,omitempty"`
+	// Examples describes the first broken promises.
+	Examples []Example `json:"examples,omitempty"`
+}
+
+// Example is a broken promise. ID is the request id or the idempotency key, so that the
+// logs of the instances can be searched for it.
+type Example struct {
+	Promise string `json:"promise"`
+	ID      string `json:"id"`
+	Detail  string `json:"detail"`
 }
 
 var tierOrder = map[string]int{"urgent": 0, "interactive": 1, "standard": 2, "batch": 3}
@@ -100,8 +108,8 @@
 	p("\nattempts %d (retries %d, impatient %d), broken connections %d, not sent %d\n", c.Attempts, c.Retries, c.Extra, c.Broken, c.NotSent)
 	p("doubled %d, lost %d, cut %d, mixed %d, false not_run %d, not executed %d, sent to a leaving server %d\n",
 		c.Doubled, c.Lost, c.Cut, c.Mixed, c.FalseNotRun, c.NotExecuted, c.AfterLeaving)
-	for _, l := range r.Lost {
-		p("lost: %s\n", l)
+	for _, e := range r.Examples {
+		p("%s: %s %s\n", e.Promise, e.ID, e.Detail)
 	}
 	codes := make([]string, 0, len(r.Refusals))
 	for code := range r.Refusals {
--- a/internal/proving/fleet_test.go
+++ b/internal/proving/fleet_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -240,3 +242,27 @@
 	report.Print(GinkgoWriter)
 	return report
 }
+
+// trace returns the log lines of all processes that name the request or key of a broken
+// promise, in the order of each process.
+func (f *fleet) trace(r *load.Report) string {
+	const maxLines = 200
+	var lines []string
+	for _, e := range r.Examples {
+		lines = append(lines, fmt.Sprintf("%s: %s %s", e.Promise, e.ID, e.Detail))
+	}
+	for _, p := range f.processes() {
+		for line := range strings.Lines(p.out.String()) {
+			if len(lines) < maxLines && slices.ContainsFunc(r.Examples, func(e load.Example) bool { return e.ID != "" && strings.Contains(line, e.ID) }) {
+				lines = append(lines, p.name+" "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (f *fleet) processes() []*process {
+	all := slices.Concat(slices.Collect(maps.Values(f.instances)), slices.Collect(maps.Values(f.engines)), f.bookings)
+	slices.SortFunc(all, func(a, b *process) int { return strings.Compare(a.name, b.name) })
+	return all
+}
--- a/internal/proving/proving_test.go
+++ b/internal/proving/proving_test.go
@@ -68,7 +68,7 @@
 // expectKept fails if the judge found a broken promise, or a broken connection at an
 // instance that was not killed.
 func (f *fleet) expectKept(r *load.Report) {
-	Expect(r.Faults()).To(BeEmpty())
+	Expect(r.Faults()).To(BeEmpty(), f.trace(r))
 	for address, n := range r.BrokenAt {
 		Expect(f.crashed).To(HaveKey(address), fmt.Sprintf("%d connections broke at %s, which was not killed", n, address))
 	}
