Let a load caller try again after a broken connection whatever came before it

The trace: a batch request without a key was shed seven times, its eighth attempt met instance i01 in the seconds in which it was killed and still on the caller's address list, and the caller gave up, because broken attempts and refusals shared the bound of eight. The fleet had lost nothing: no instance had been asked again. Ruled out: an instance that was not killed (the broken connection was at i01), and an answer lost inside the fleet (the request was not admitted anywhere). Change: refusals and broken attempts in a row are counted apart, eight of each; a request is still lost when eight connections in a row break. The report of a lost request lists all its attempts.

--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -42,6 +42,11 @@
 	total   time.Duration
 }
 
+func (a *attempt) String() string {
+	names := [...]string{whole: "whole", refused: a.problem.Type, broken: "broken", cut: "cut", mixed: "mixed"}
+	return names[a.outcome] + " at " + a.address
+}
+
 const tokenHeader = "Authorization"
 
 // call sends one attempt of a request and judges what comes back.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -29,8 +29,12 @@
 }
 
 const (
-	// maxAttempts bounds the attempts of one request.
+	// maxAttempts bounds the attempts of one request that are refused.
 	maxAttempts = 8
+	// maxBroken bounds the attempts in a row whose connection failed; after them the request
+	// is lost. It is counted apart from the refusals: a caller that was refused seven times and
+	// then met a killed instance knows nothing of its request and has to ask again.
+	maxBroken = 8
 	// impatience is the pause after which an impatient caller sends its request again.
 	impatience = 10 * time.Millisecond
 	// grace is added to a request's deadline before the caller gives up on a connection. An
@@ -125,18 +129,39 @@
 		go r.pester(answered, a)
 	}
 	var last attempt
-	for n := range maxAttempts {
+	var tries retries
+	for n := 0; ; n++ {
 		last = r.try(ctx, a)
 		r.judge.attempt(a, last, n)
+		tries.history = append(tries.history, last.String())
 		late := time.Since(began) > a.class.Deadline && last.outcome != broken
 		if done(last) || late || ctx.Err() != nil {
 			break
 		}
-		if !waitUntil(ctx, time.Now().Add(retryPause<<n)) {
+		pause, again := tries.next(last.outcome)
+		if !again || !waitUntil(ctx, time.Now().Add(pause)) {
 			break
 		}
 	}
-	r.judge.final(a, last, time.Since(began))
+	r.judge.final(a, last, time.Since(began), tries.history)
+}
+
+// retries counts the attempts of one request that did not bring its answer.
+type retries struct {
+	refused, broken int
+	// history describes each attempt, for the report of a lost request.
+	history []string
+}
+
+// next counts an attempt and returns the pause before the next one, if there is to be one.
+func (t *retries) next(o outcome) (pause time.Duration, again bool) {
+	if o == broken {
+		t.broken++
+		return retryPause << (t.broken - 1), t.broken < maxBroken
+	}
+	t.refused++
+	t.broken = 0
+	return retryPause << (t.refused - 1), t.refused < maxAttempts
 }
 
 func (r *runner) try(ctx context.Context, a *arrival) attempt {
