Decide the placement of models and adapters

Cause: briaryard routes to what engines announce and gives them no orders, so a lost engine's model is not loaded anywhere else.

Change: internal/decide/placement is a pure step machine. It keeps the declared engines for each pool and failure domain with one order at a time per engine, paced loads, a declared time that a model stays, no change that costs a more urgent tier its engine, and orders that carry the fencing token of the lease. An order whose result is unknown is kept until the announcements show its fate.

--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -12,6 +12,8 @@
 	// MinimumShare is the share of each tier's capacity that lower tiers cannot lose while
 	// no higher tier would miss a deadline, 0 to 1.
 	MinimumShare [TierCount]float64
+	// Placement is nil if placement is not declared; then no orders are given to engines.
+	Placement *Placement
 	// Exceptions are the declared deviations from the defaults. Their values are already
 	// part of Teams and Pools where they apply.
 	Exceptions []Exception
@@ -96,6 +98,37 @@
 	ServersPerDomain int
 	// DomainServers replaces ServersPerDomain in single failure domains.
 	DomainServers map[FailureDomain]int
+	// WeightBytes is the size of the model in the weight store; zero if it is not declared.
+	WeightBytes int64
+	// Adapters are loaded on each engine that serves the pool.
+	Adapters []string
+}
+
+// Placement declares how engines are given their models and adapters.
+type Placement struct {
+	// LoadsAtOnce bounds the loads from the weight store that run at the same time.
+	LoadsAtOnce int
+	// BytesPerSecond bounds the declared bytes of models loaded per second; zero is unlimited.
+	BytesPerSecond int64
+	// ModelsPerEngine is the number of models that an engine holds at most.
+	ModelsPerEngine int
+	// Settle is how long engines must be missing before an order is given.
+	Settle time.Duration
+	// Hold is how long a model stays on an engine before it can be unloaded.
+	Hold time.Duration
+}
+
+// Placed reports whether placement keeps engines for the pool.
+func (p *Pool) Placed() bool {
+	if p.Kind != EngineServer {
+		return false
+	}
+	for _, n := range p.DomainServers {
+		if n > 0 {
+			return true
+		}
+	}
+	return p.ServersPerDomain > 0
 }
 
 // Servers returns the number of engines that placement keeps in a failure domain.
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -62,11 +62,16 @@
 	Generation string
 	// ChecksFencing tells whether it refuses orders with an old fencing number.
 	ChecksFencing bool
+	// Order is the newest order that an engine has accepted, as it announces it.
+	Order AnnouncedOrder
 }
 
 // Serves reports whether the server serves a pool.
 func (s *BackendServer) Serves(pool PoolID) bool { return slices.Contains(s.Pools, pool) }
 
+// HasAdapter reports whether an adapter is loaded.
+func (s *BackendServer) HasAdapter(name string) bool { return slices.Contains(s.Adapters, name) }
+
 // Usable reports whether new work may go to the server.
 func (s *BackendServer) Usable() bool { return s.State == Alive }
 
