Let the stand-in engine carry out orders and announce the newest one

Cause: the stand-in answered orders without doing anything, and an engine could not tell whether it had accepted an order whose answer was lost.

Announcements carry the newest accepted order with its state, and an engine that takes orders may announce itself without a model.

Result: the tests of the stand-in and of the codecs pass.

--- a/cmd/briaryard/standin.go
+++ b/cmd/briaryard/standin.go
@@ -40,11 +40,14 @@
 
 type engineStandin struct {
 	standinSettings
-	Model            string        `help:"Model that the engine serves." default:"notes"`
+	Model            string        `help:"Model that the engine serves; - for a spare engine without one." default:"notes"`
 	TokenTime        time.Duration `help:"Time between tokens in an empty batch." default:"10ms"`
 	PrefillPerSecond int           `help:"Prompt tokens computed in a second." default:"20000"`
 	LoadLag          time.Duration `help:"Age of load reports." default:"1s"`
 	Generation       string        `help:"Hardware generation." default:"g1"`
+	ChecksFencing    bool          `help:"Refuse orders with an old fencing token instead of ignoring tokens."`
+	LoadTime         time.Duration `help:"Time to load a model or adapter." default:"1s"`
+	OrderArrival     time.Duration `help:"Time from the opening of a connection to a whole order on it; 0 sets no bound." default:"500ms"`
 }
 
 type bookingStandin struct {
@@ -55,7 +58,11 @@
 
 // Run implements the command.
 func (c *engineStandin) Run() error {
+	if c.Model == "-" {
+		c.Model = ""
+	}
 	e := engine.New(engine.Options{
+		ChecksFencing: c.ChecksFencing, LoadTime: c.LoadTime, OrderArrival: c.OrderArrival,
 		ID: c.ID, Model: c.Model, Domain: c.FailureDomain, Slots: c.Slots, TokenTime: c.TokenTime,
 		PrefillPerSecond: c.PrefillPerSecond, LoadLag: c.LoadLag, CacheEventGap: 10, Generation: c.Generation,
 	})
@@ -88,7 +95,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: accepted.Guard(trust.RoleServer)(h), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: accepted.Guard(trust.RoleServer)(h), ReadHeaderTimeout: readHeaderTimeout, ConnContext: engine.ConnContext,
+	}
 	go announce.RunSecured(ctx, outgoing, c.Instances, func() frontannounce.Announcement { return current(advertised) })
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	fmt.Println(l.Addr().String())
--- a/internal/decide/member/merge.go
+++ b/internal/decide/member/merge.go
@@ -134,5 +134,5 @@
 func sameContent(a, b model.BackendServer) bool {
 	return a.Incarnation == b.Incarnation && a.State == b.State && a.Home == b.Home && a.Address == b.Address &&
 		a.Domain == b.Domain && a.Kind == b.Kind && a.Slots == b.Slots && a.Generation == b.Generation &&
-		a.ChecksFencing == b.ChecksFencing && slices.Equal(a.Pools, b.Pools) && slices.Equal(a.Adapters, b.Adapters)
+		a.ChecksFencing == b.ChecksFencing && a.Order == b.Order && slices.Equal(a.Pools, b.Pools) && slices.Equal(a.Adapters, b.Adapters)
 }
--- a/internal/service/frontannounce/announcement.go
+++ b/internal/service/frontannounce/announcement.go
@@ -22,10 +22,17 @@
 	Generation    string   `json:"generation,omitempty"`
 	ChecksFencing bool     `json:"checks_fencing"`
 	Leaving       bool     `json:"leaving,omitempty"`
+	Order         *Order   `json:"order,omitempty"`
 	Load          *Load    `json:"load,omitempty"`
 	CacheEvents   []Cache  `json:"cache_events,omitempty"`
 }
 
+// Order is the newest order that an engine has accepted.
+type Order struct {
+	ID    string `json:"id,omitempty"`
+	State string `json:"state"`
+}
+
 // Load is a load report. AgeMS is the age of the reading when the report was sent; it is
 // used instead of a time of day because the clocks of two machines differ.
 type Load struct {
@@ -62,6 +69,10 @@
 	if a.Leaving {
 		srv.State = model.Leaving
 	}
+	if a.Order != nil {
+		srv.Order.ID = a.Order.ID
+		srv.Order.State, _ = model.ParseOrderState(a.Order.State)
+	}
 	if a.Kind == model.PlainServer.String() {
 		srv.Kind = model.PlainServer
 		srv.Pools = []model.PoolID{model.PoolID(a.Service)}
@@ -81,6 +92,14 @@
 	return out, nil
 }
 
+// maxOrderID is more than the two numbers of an order id take.
+const maxOrderID = 64
+
+func (o *Order) valid() bool {
+	state, ok := model.ParseOrderState(o.State)
+	return ok && state != model.OrderUnreported && len(o.ID) <= maxOrderID
+}
+
 func (a *Announcement) loadReport(now time.Time) *model.LoadReport {
 	age := min(max(time.Duration(a.Load.AgeMS)*time.Millisecond, 0), maxAge)
 	return &model.LoadReport{
@@ -100,8 +119,10 @@
 		return &fault.InvalidRequest{Field: "address", Reason: "must not be empty"}
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return &fault.InvalidRequest{Field: "slots", Reason: "must be from 1 to 65536"}
-	case a.Kind == model.EngineServer.String() && len(a.Models) == 0:
-		return &fault.InvalidRequest{Field: "models", Reason: "an engine must name a model"}
+	case a.Kind == model.EngineServer.String() && len(a.Models) == 0 && a.Order == nil:
+		return &fault.InvalidRequest{Field: "models", Reason: "an engine must name a model unless it takes orders"}
+	case a.Order != nil && !a.Order.valid():
+		return &fault.InvalidRequest{Field: "order", Reason: "want an id of at most 64 bytes and the state none, running, done or failed"}
 	case a.Kind == model.PlainServer.String() && a.Service == "":
 		return &fault.InvalidRequest{Field: "service", Reason: "a plain server must name its service"}
 	case a.Kind != model.EngineServer.String() && a.Kind != model.PlainServer.String():
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +14,7 @@
 	"briaryard/internal/standin/record"
 )
 
-// Options describe an engine.
+// Options describe an engine. An engine without a model is spare.
 type Options struct {
 	ID     string
 	Model  string
@@ -31,7 +32,14 @@
 	// CacheEventGap drops every n-th cache event; zero drops none.
 	CacheEventGap int
 	Generation    string
+	// ChecksFencing makes the engine refuse orders with an old fencing token. Otherwise it
+	// ignores tokens.
 	ChecksFencing bool
+	// LoadTime is how long it takes to load a model or adapter.
+	LoadTime time.Duration
+	// OrderArrival bounds the time from the opening of a connection to a whole order on it;
+	// zero sets no bound.
+	OrderArrival time.Duration
 }
 
 // Normalize fills in defaults.
@@ -67,7 +75,14 @@
 	// refused holds the ids that must not be admitted any more.
 	refused  map[string]bool
 	prefills int
+	// models, adapters and role change by orders.
+	models   []string
+	adapters []string
+	role     string
 	fence    uint64
+	// newest is the newest accepted order as announced, and orders lists all that arrived.
+	newest frontannounce.Order
+	orders []Order
 }
 
 type loadReading struct {
@@ -78,13 +93,17 @@
 // New returns an engine.
 func New(options Options) *Engine {
 	options.normalize()
-	return &Engine{
+	e := &Engine{
 		options: options, incarnation: uint64(time.Now().UnixNano()),
 		slots: make(chan struct{}, options.Slots), prefill: make(chan struct{}, 1),
 		streams: make(map[string]*stream), slowdown: 1,
 		cache: newPrefixCache(options.CachePrefixes, options.CacheEventGap), record: record.New(),
-		refused: make(map[string]bool),
+		refused: make(map[string]bool), newest: frontannounce.Order{State: model.OrderNone.String()},
 	}
+	if options.Model != "" {
+		e.models = []string{options.Model}
+	}
+	return e
 }
 
 // SetSlowdown makes the engine slower by a factor.
@@ -113,9 +132,10 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.loads = append(e.loads, loadReading{now, frontannounce.Load{Running: e.running, Queued: e.queued, CacheUsed: e.cache.used()}})
+	newest := e.newest
 	a := frontannounce.Announcement{
 		ID: e.options.ID, Incarnation: e.incarnation, Address: address, FailureDomain: e.options.Domain,
-		Kind: "engine", Models: []string{e.options.Model}, Slots: e.options.Slots,
+		Kind: "engine", Models: slices.Clone(e.models), Adapters: slices.Clone(e.adapters), Order: &newest, Slots: e.options.Slots,
 		Generation: e.options.Generation, ChecksFencing: e.options.ChecksFencing, Leaving: e.record.Leaving(),
 		CacheEvents: e.cache.takeEvents(),
 	}
--- a/internal/wire/dispatchwire/codec.go
+++ b/internal/wire/dispatchwire/codec.go
@@ -36,6 +36,8 @@
 		env.Body = &pb.Envelope_Event{Event: e.event(m.Event)}
 	case port.StateRequest:
 		env.Body = &pb.Envelope_StateRequest{StateRequest: &pb.StateRequest{Pool: string(m.Pool), Epoch: uint64(m.Epoch)}}
+	case port.DemandMessage:
+		env.Body = &pb.Envelope_Demand{Demand: demand(m)}
 	default:
 		return nil, &fault.PeerProtocol{Reason: fmt.Sprintf("no encoding for %T", body)}
 	}
--- a/internal/wire/dispatchwire/codec_test.go
+++ b/internal/wire/dispatchwire/codec_test.go
@@ -21,6 +21,7 @@
 	return []any{
 		port.RegisterMessage{Descriptor: d},
 		port.WithdrawMessage{Pool: "notes", Request: id},
+		port.DemandMessage{Pool: "notes", Requests: [model.TierCount]int{1, 2, 3, 4}},
 		port.ReportMessage{Progress: model.Progress{
 			Request: id, Pool: "notes", Server: "e1", Epoch: 5, Kind: model.ProgressFailed,
 			FirstToken: time.Second, PerToken: time.Millisecond, Tokens: 7, PrefillTokens: 8,
--- a/internal/wire/dispatchwire/decode.go
+++ b/internal/wire/dispatchwire/decode.go
@@ -44,6 +44,8 @@
 		return port.EventMessage{Event: d.event(b.Event)}
 	case *pb.Envelope_StateRequest:
 		return port.StateRequest{Pool: d.pool(b.StateRequest.GetPool()), Epoch: model.Epoch(b.StateRequest.GetEpoch())}
+	case *pb.Envelope_Demand:
+		return d.demand(b.Demand)
 	}
 	d.bad("message of no known kind")
 	return nil
@@ -181,3 +183,15 @@
 	}
 	return out
 }
+
+func (d *decoder) demand(m *pb.Demand) port.DemandMessage {
+	out := port.DemandMessage{Pool: d.pool(m.GetPool())}
+	if len(m.GetRequests()) != model.TierCount {
+		d.bad("want the requests of each tier")
+		return out
+	}
+	for i, n := range m.GetRequests() {
+		out.Requests[i] = d.count(n)
+	}
+	return out
+}
--- a/internal/wire/dispatchwire/encode.go
+++ b/internal/wire/dispatchwire/encode.go
@@ -84,3 +84,11 @@
 		Sequence: v.Sequence,
 	}
 }
+
+func demand(m port.DemandMessage) *pb.Demand {
+	out := &pb.Demand{Pool: string(m.Pool)}
+	for _, n := range m.Requests {
+		out.Requests = append(out.Requests, int64(n))
+	}
+	return out
+}
--- a/internal/wire/memberwire/codec.go
+++ b/internal/wire/memberwire/codec.go
@@ -108,6 +108,7 @@
 			Id: string(s.ID), Incarnation: uint64(s.Incarnation), Sequence: s.Sequence, State: uint32(s.State),
 			Home: string(s.Home), Address: s.Address, FailureDomain: string(s.Domain), Kind: uint32(s.Kind),
 			Adapters: s.Adapters, Slots: uint32(s.Slots), Generation: s.Generation, ChecksFencing: s.ChecksFencing,
+			OrderId: s.Order.ID, OrderState: uint32(s.Order.State),
 		}
 		for _, pool := range s.Pools {
 			p.Pools = append(p.Pools, string(pool))
@@ -134,7 +135,8 @@
 		if err := check(s.GetId(), s.GetState()); err != nil {
 			return member.Records{}, err
 		}
-		if s.GetSlots() < 1 || s.GetSlots() > maxSlots || s.GetKind() > uint32(model.PlainServer) {
+		if s.GetSlots() < 1 || s.GetSlots() > maxSlots || s.GetKind() > uint32(model.PlainServer) ||
+			s.GetOrderState() > uint32(model.OrderFailed) {
 			return member.Records{}, &fault.PeerProtocol{Reason: "backend server out of range"}
 		}
 		out.Servers = append(out.Servers, decodeServer(s))
@@ -148,6 +150,7 @@
 		State: model.MemberState(s.GetState()), Home: model.InstanceID(s.GetHome()), Address: s.GetAddress(),
 		Domain: model.FailureDomain(s.GetFailureDomain()), Kind: model.ServerKind(s.GetKind()), Adapters: s.GetAdapters(),
 		Slots: int(s.GetSlots()), Generation: s.GetGeneration(), ChecksFencing: s.GetChecksFencing(),
+		Order: model.AnnouncedOrder{ID: s.GetOrderId(), State: model.OrderState(s.GetOrderState())},
 	}
 	for _, pool := range s.GetPools() {
 		out.Pools = append(out.Pools, model.PoolID(pool))
--- a/internal/wire/memberwire/codec_test.go
+++ b/internal/wire/memberwire/codec_test.go
@@ -22,6 +22,7 @@
 			Servers: []model.BackendServer{{
 				ID: "e1", Incarnation: 1, Sequence: 2, State: model.Suspect, Home: "i1", Address: "a", Domain: "d",
 				Kind: model.PlainServer, Pools: []model.PoolID{"p"}, Adapters: []string{"x"}, Slots: 3, Generation: "g", ChecksFencing: true,
+				Order: model.AnnouncedOrder{ID: "3/1", State: model.OrderRunning},
 			}},
 		},
 		member.Digest{Buckets: make([]uint64, member.BucketCount)},
