Give orders to engines from the holder of the placement lease

Cause: nothing carried out the decisions on placement.

Change: the service placement runs them in one duty while this instance holds the placement lease of the control group, which exists only with a placement section in the configuration. Orders go through the engine client on a connection of their own and in one write, after a last check of the lease. Dispatchers report the demand of their pools by tier to the holder. Events, metrics and the operators' status show decisions, orders and missing engines.

Result: the tests of the touched packages pass.

--- a/cmd/briaryard/operate.go
+++ b/cmd/briaryard/operate.go
@@ -61,6 +61,7 @@
 		rows = append(rows, []string{l.Name, or(l.Holder, "nobody"), fmt.Sprint(l.Epoch)})
 	}
 	p.table(rows)
+	p.placement(s.Placement)
 	rows = [][]string{{"\nDUTY", "RING", "WAITING", "MOST", "CAPACITY", "REFUSED"}}
 	for _, d := range s.Duties {
 		for _, r := range d.Rings {
@@ -70,6 +71,28 @@
 	p.table(rows)
 }
 
+// placement prints what the holder of the placement lease knows.
+func (p *printer) placement(s *operator.Placement) {
+	switch {
+	case s == nil:
+		return
+	case !s.Here:
+		p.line("\nplacement: orders and missing engines are known at %s", or(s.Holder, "the holder of its lease, nobody for now"))
+		return
+	}
+	p.line("\nplacement: %d loads running", s.Loads)
+	rows := [][]string{{"ORDER", "KIND", "BACKEND SERVER", "MODEL", "ADAPTER", "PHASE", "FOR"}}
+	for _, o := range s.Orders {
+		rows = append(rows, []string{o.ID, o.Kind, o.Server, o.Model, or(o.Adapter, "-"), o.Phase, time.Since(o.Since).Round(time.Second).String()})
+	}
+	p.table(rows)
+	rows = [][]string{{"\nMISSING", "DOMAIN", "WANT", "HAVE", "REASON"}}
+	for _, m := range s.Missing {
+		rows = append(rows, []string{m.Pool, m.FailureDomain, fmt.Sprint(m.Want), fmt.Sprint(m.Have), or(m.Reason, "orders are on their way")})
+	}
+	p.table(rows)
+}
+
 func or(text, otherwise string) string {
 	if text == "" {
 		return otherwise
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -24,6 +24,7 @@
 	"briaryard/internal/service/lifecycle"
 	"briaryard/internal/service/members"
 	"briaryard/internal/service/peers"
+	"briaryard/internal/service/placement"
 	"briaryard/internal/service/plainclient"
 	"briaryard/internal/service/transfer"
 	"briaryard/internal/trust"
@@ -81,6 +82,7 @@
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(i.newControlClient),
 			service(func(l *event.Log) *config.Service { return config.New(l, settings.place()) }), service(dispatch.New), service(dispatcher.New), service(entry.New),
+			service(placement.New),
 			service(transfer.New), service(func(l *event.Log, o *trust.Outgoing) kernel.Service { return engineclient.New(l, o) }),
 			service(func(o *trust.Outgoing) kernel.Service { return plainclient.New(o) }),
 			service(func(s *frontcaller.Service) kernel.Service { return s }),
--- a/internal/decide/controlcall/effect.go
+++ b/internal/decide/controlcall/effect.go
@@ -1,6 +1,8 @@
 package controlcall
 
 import (
+	"time"
+
 	"briaryard/internal/decide/session"
 	"briaryard/internal/decide/state"
 	"briaryard/internal/model"
@@ -40,8 +42,13 @@
 	// Lapsed is set on a lease that is held here and whose time has run out without news of
 	// another holder.
 	Lapsed bool
+	// Until is when the lease runs out, set on a lease that is held here and has not lapsed.
+	Until time.Time
 }
 
+// sameHolder reports whether two leases differ at most in their time.
+func (l Lease) sameHolder(o Lease) bool { return l.Lease == o.Lease && l.Lapsed == o.Lapsed }
+
 // PublishConfig publishes an accepted configuration. Its revision is above every earlier one.
 type PublishConfig struct{ Config state.AcceptedConfig }
 
--- a/internal/decide/controlcall/heartbeat.go
+++ b/internal/decide/controlcall/heartbeat.go
@@ -102,9 +102,13 @@
 
 // acting reports whether this instance may act on a lease at a time.
 func (m *Machine) acting(now time.Time, l state.Lease) bool {
+	return m.mine(l) && !m.beats.stopping && now.Before(m.until(l))
+}
+
+// until is when a lease held here runs out by this instance's clock.
+func (m *Machine) until(l state.Lease) time.Time {
 	o := m.options.Lease
-	own := o.LeaseDuration*time.Duration(100-o.DriftPercent)/100 - Tick
-	return m.mine(l) && !m.beats.stopping && now.Sub(m.beats.renewed[l.Name]) < own
+	return m.beats.renewed[l.Name].Add(o.LeaseDuration*time.Duration(100-o.DriftPercent)/100 - Tick)
 }
 
 // lapsed reports whether the time of a lease held here has run out and no news of another
@@ -227,7 +231,9 @@
 	for _, l := range m.table() {
 		held := Lease{Lease: l}
 		switch {
-		case l.Holder != m.options.Self || m.acting(now, l):
+		case l.Holder != m.options.Self:
+		case m.acting(now, l):
+			held.Until = m.until(l)
 		case m.lapsed(now, l):
 			held.Lapsed = true
 		default:
@@ -235,7 +241,7 @@
 		}
 		table = append(table, held)
 	}
-	if slices.Equal(table, b.published) && now.Sub(b.publishedAt) < m.options.HeartbeatInterval {
+	if slices.EqualFunc(table, b.published, Lease.sameHolder) && now.Sub(b.publishedAt) < m.options.HeartbeatInterval {
 		return
 	}
 	b.published, b.publishedAt = table, now
--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -42,7 +42,9 @@
 	tokens      int64
 	following   int
 	outstanding int
-	pace        pace
+	// demand counts all requests of each tier.
+	demand [model.TierCount]int
+	pace   pace
 	// lastHeld is when held requests were last put back.
 	lastHeld time.Time
 	// expected lists the instances that have not been heard from since the pool was created.
@@ -93,6 +95,9 @@
 	return len(p.requests) - p.outstanding - p.following, p.outstanding
 }
 
+// Demand returns the number of waiting and outstanding requests of each tier.
+func (p *Pool) Demand() [model.TierCount]int { return p.demand }
+
 // SetLapsed states whether the lease has run out without news of another holder. A lapsed
 // dispatcher still grants: another one grants nothing before every instance follows it, and
 // an instance that follows another takes no grant from this one. It sheds nothing, because
--- a/internal/decide/dispatch/track.go
+++ b/internal/decide/dispatch/track.go
@@ -8,6 +8,7 @@
 func (p *Pool) track(d model.Descriptor) *request {
 	r := &request{desc: d, cost: d.Cost(), byDeadline: -1, byCost: -1, byUseful: -1}
 	p.requests[d.ID] = r
+	p.demand[d.Tier]++
 	r.next = p.instances[d.ID.Instance]
 	if r.next != nil {
 		r.next.prev = r
@@ -24,6 +25,7 @@
 	}
 	p.dequeue(r)
 	delete(p.requests, r.desc.ID)
+	p.demand[r.desc.Tier]--
 	switch {
 	case r.prev != nil:
 		r.prev.next = r.next
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -39,6 +39,13 @@
     routes: [{method: POST, path: /book, idempotent: false}]
 `
 
+// placed declares everything about placement.
+const placed = `
+pools:
+  notes: {kind: engine, servers_per_domain: 2, weight_bytes: 16000000000, adapters: [pointe, lace]}
+placement: {loads_at_once: 3, bytes_per_second: 4000000000, models_per_engine: 2, settle: 5s, hold: 20m}
+`
+
 func exception(body string) string { return base + "exceptions:\n  - " + body + "\n" }
 
 const signed = "owner: o, reason: r"
@@ -68,6 +75,13 @@
 	"two targets":             {exception("{scope: {team: a, pool: notes}, field: weight, value: 3, " + signed + "}"), "either a team or a pool"},
 	"two places":              {exception("{scope: {team: a, instance: i, failure_domain: d}, field: concurrency, value: 3, " + signed + "}"), "not both"},
 	"bad date":                {exception("{scope: {team: a}, field: weight, value: 3, until: May, " + signed + "}"), "exceptions[0].until: want a date"},
+	"adapters not a list":     {"pools: {p: {adapters: x}}", "pools.p.adapters: want a list"},
+	"adapter without a name":  {"pools: {p: {adapters: ['']}}", "pools.p.adapters: want names"},
+	"adapter twice":           {"pools: {p: {adapters: [x, x]}}", "\"x\" is listed twice"},
+	"no load at once":         {"pools: {p: {servers_per_domain: 1}}\nplacement: {loads_at_once: 0}", "placement.loads_at_once: want a whole number from 1"},
+	"negative byte rate":      {"pools: {p: {servers_per_domain: 1}}\nplacement: {bytes_per_second: -1}", "placement.bytes_per_second: want a whole number"},
+	"endless hold":            {"pools: {p: {servers_per_domain: 1}}\nplacement: {hold: for ever}", "placement.hold: want a duration"},
+	"unknown placement field": {"pools: {p: {servers_per_domain: 1}}\nplacement: {speed: 1}", "field placement.speed: unknown field"},
 	"list for a map":          {"teams: [a]", "field teams: want names"},
 }
 
@@ -77,6 +91,10 @@
 	"shares above one":        {"tiers: {batch: {minimum_share: 0.6}, standard: {minimum_share: 0.6}}", "add up to 1.2"},
 	"deadline above maximum":  {"pools: {p: {default_deadline: 2m, max_deadline: 1m}}", "exceeds max_deadline"},
 	"routes of an engine":     {"pools: {p: {routes: []}}", "only a pool of kind plain"},
+	"placement of nothing":    {"pools: {p: {}}\nplacement: {}", "no pool of kind engine has servers_per_domain"},
+	"placement of a service":  {"pools: {p: {kind: plain, servers_per_domain: 1}}\nplacement: {}", "no pool of kind engine has servers_per_domain"},
+	"rate without sizes":      {"pools: {p: {servers_per_domain: 1}}\nplacement: {bytes_per_second: 1}", "needs weight_bytes of pool p"},
+	"adapters of a service":   {"pools: {p: {kind: plain, adapters: [x]}}", "only a pool of kind engine has adapters"},
 	"given twice":             {"teams:\n  a: {}\n  a: {}\n", "already defined"},
 	"undeclared target":       {exception("{scope: {team: x}, field: weight, value: 3, " + signed + "}"), "team x is not declared"},
 	"no such field":           {exception("{scope: {team: a}, field: kind, value: 3, " + signed + "}"), "is not a field"},
@@ -147,7 +165,7 @@
 
 	It("is accepted by the parser and by the schema when it is good", func() {
 		s := schema()
-		good := []string{base, "", "teams: {a: }", exception("{scope: {team: a}, field: lower_tier, value: true, until: 2027-01-01, " + signed + "}")}
+		good := []string{base, "", placed, base + "placement:\n", "teams: {a: }", exception("{scope: {team: a}, field: lower_tier, value: true, until: 2027-01-01, " + signed + "}")}
 		for _, name := range []string{"office", "workshop"} {
 			c, content, err := declare.Check(example(name), today)
 			Expect(err).NotTo(HaveOccurred())
@@ -185,6 +203,23 @@
 		Expect(c.MinimumShare[model.Standard]).To(Equal(0.1))
 	})
 
+	// Orders must not be given to a fleet whose operators have not asked for them.
+	It("turns placement on with its section only", func() {
+		c, err := declare.Parse([]byte(base))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Placement).To(BeNil())
+		c, err = declare.Parse([]byte(base + "placement:\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*c.Placement).To(Equal(model.Placement{LoadsAtOnce: 1, ModelsPerEngine: 1, Settle: 10 * time.Second, Hold: 10 * time.Minute}))
+		c, err = declare.Parse([]byte(placed))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*c.Placement).To(Equal(model.Placement{
+			LoadsAtOnce: 3, BytesPerSecond: 4e9, ModelsPerEngine: 2, Settle: 5 * time.Second, Hold: 20 * time.Minute,
+		}))
+		Expect(c.Pools["notes"].Adapters).To(Equal([]string{"pointe", "lace"}))
+		Expect(c.Pools["notes"].WeightBytes).To(Equal(int64(16e9)))
+	})
+
 	It("applies an exception only where its scope says", func() {
 		content := []byte(exception("{scope: {team: a, failure_domain: d2}, field: concurrency, value: 3, " + signed + "}\n" +
 			"  - {scope: {team: a, failure_domain: d3}, field: concurrency, value: 4, " + signed + "}\n" +
--- a/internal/declare/field.go
+++ b/internal/declare/field.go
@@ -44,6 +44,8 @@
 	maxBody       = 64 << 20
 	maxDeadline   = time.Hour
 	maxPerDomain  = 10_000
+	maxModels     = 64
+	maxBytes      = 1_000_000_000_000_000
 	maxNameLength = 100
 )
 
@@ -67,6 +69,15 @@
 	of("max_waiting", whole(0, maxCount), func(p *model.Pool) *int { return &p.MaxWaiting }),
 	of("max_tokens", whole(1, maxCount), func(p *model.Pool) *int { return &p.MaxTokens }),
 	of(fieldServersPerDomain, whole(0, maxPerDomain), func(p *model.Pool) *int { return &p.ServersPerDomain }),
+	of("weight_bytes", readBytes, func(p *model.Pool) *int64 { return &p.WeightBytes }),
+}
+
+var placementFields = []field[model.Placement]{
+	of("loads_at_once", whole(1, maxPerDomain), func(p *model.Placement) *int { return &p.LoadsAtOnce }),
+	of("bytes_per_second", readBytes, func(p *model.Placement) *int64 { return &p.BytesPerSecond }),
+	of("models_per_engine", whole(1, maxModels), func(p *model.Placement) *int { return &p.ModelsPerEngine }),
+	of("settle", readDuration, func(p *model.Placement) *time.Duration { return &p.Settle }),
+	of("hold", readDuration, func(p *model.Placement) *time.Duration { return &p.Hold }),
 }
 
 // fieldServersPerDomain is the only field of a pool that an exception may set for a single
@@ -102,6 +113,14 @@
 	}
 }
 
+func readBytes(n *node) (any, string) {
+	v, reason := whole(0, maxBytes)(n)
+	if reason != "" {
+		return nil, reason
+	}
+	return int64(v.(int)), ""
+}
+
 func readBool(n *node) (any, string) {
 	v, ok := n.scalar.(bool)
 	if !ok {
--- a/internal/declare/parse.go
+++ b/internal/declare/parse.go
@@ -40,7 +40,7 @@
 }
 
 // The names of the sections, in the order of the canonical document.
-var sections = []string{"default_team", "tiers", "defaults", "teams", "pools", "exceptions"}
+var sections = []string{"default_team", "tiers", "defaults", "teams", "pools", "placement", "exceptions"}
 
 type builder struct {
 	faults *faults
@@ -60,6 +60,7 @@
 		b.teams(root.get("teams"))
 		b.pools(root.get("pools"))
 		b.exceptions(root.get("exceptions"), place)
+		b.placement(root.get("placement"))
 		b.defaultTeam(root.get("default_team"))
 	}
 	if err := f.err(); err != nil {
@@ -172,8 +173,9 @@
 		pool.ID = model.PoolID(e.name)
 		path := "pools." + e.name
 		if !empty(e.value) {
-			fill(b, e.value, path, poolFields, &pool, "routes")
+			fill(b, e.value, path, poolFields, &pool, "routes", "adapters")
 			if e.value.kind == mapNode {
+				b.adapters(e.value.get("adapters"), path+".adapters", &pool)
 				b.routes(e.value.get("routes"), path+".routes", &pool)
 			}
 		}
--- /dev/null
+++ b/internal/declare/placement.go
@@ -0,0 +1,69 @@
+package declare
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"briaryard/internal/model"
+)
+
+// basePlacement holds the values where the section says nothing. One load at a time never
+// overloads a weight store; engines that come back within 10 s need no replacement; and a
+// model that is moved at most every 10 minutes costs little of the store.
+func basePlacement() model.Placement {
+	return model.Placement{LoadsAtOnce: 1, ModelsPerEngine: 1, Settle: 10 * time.Second, Hold: 10 * time.Minute}
+}
+
+// placement reads the section that turns placement on. It comes after the pools and the
+// exceptions, which it is checked against.
+func (b *builder) placement(n *node) {
+	if n == nil {
+		return
+	}
+	p := basePlacement()
+	if !empty(n) {
+		fill(b, n, "placement", placementFields, &p)
+	}
+	placed := 0
+	for _, id := range slices.Sorted(maps.Keys(b.config.Pools)) {
+		pool := b.config.Pools[id]
+		if !pool.Placed() {
+			continue
+		}
+		placed++
+		if p.BytesPerSecond > 0 && pool.WeightBytes == 0 {
+			b.faults.at(n, "placement.bytes_per_second", "needs weight_bytes of pool %s", id)
+		}
+	}
+	if placed == 0 {
+		b.faults.at(n, "placement", "no pool of kind engine has servers_per_domain")
+	}
+	b.config.Placement = &p
+}
+
+// adapters reads the adapters that each engine of a pool loads.
+func (b *builder) adapters(n *node, path string, pool *model.Pool) {
+	if n == nil {
+		return
+	}
+	if n.kind != listNode {
+		b.faults.at(n, path, "want a list of adapters")
+		return
+	}
+	if pool.Kind != model.EngineServer {
+		b.faults.at(n, path, "only a pool of kind engine has adapters")
+	}
+	for _, item := range n.items {
+		name, ok := readText(item)
+		switch {
+		case !ok || name == "" || len(name) > maxNameLength || strings.ContainsAny(name, " \t\n/\"'|"):
+			b.faults.at(item, path, "want names of 1 to %d characters without spaces, quotes, / or |", maxNameLength)
+		case slices.Contains(pool.Adapters, name):
+			b.faults.at(item, path, "%q is listed twice", name)
+		default:
+			pool.Adapters = append(pool.Adapters, name)
+		}
+	}
+}
--- a/internal/event/dispatch.go
+++ b/internal/event/dispatch.go
@@ -17,4 +17,20 @@
 		"This instance is no longer the dispatcher of a pool.", "pool", "epoch")
 	DispatcherReady = define(2006, slog.LevelInfo, "dispatcher.ready",
 		"The dispatcher has rebuilt its state and grants from now on.", "pool", "epoch", "waiting", "outstanding", "took")
+	PlacementStarted = define(2010, slog.LevelInfo, "placement.started",
+		"This instance holds the placement lease and gives orders to engines.", "epoch")
+	PlacementStopped = define(2011, slog.LevelInfo, "placement.stopped",
+		"This instance gives no more orders: it no longer holds the placement lease or cannot be sure that it does.", "epoch")
+	PlacementOrdered = define(2012, slog.LevelInfo, "placement.ordered",
+		"Placement decided on an order to an engine; the fields are the inputs that decided it.",
+		"order", "kind", "backend_server", "model", "adapter", "reason", "pool", "failure_domain", "want", "have",
+		"loads", "load_limit", "gains", "loses", "checks_fencing")
+	PlacementWithheld = define(2013, slog.LevelInfo, "placement.withheld",
+		"Engines of a pool are missing in a failure domain and placement gives no order for now.",
+		"reason", "pool", "failure_domain", "want", "have", "loads", "load_limit")
+	PlacementAnswered = define(2014, slog.LevelInfo, "placement.answered",
+		"Sending an order ended: the engine answered, or it was not sent, or its fate is unknown.",
+		"order", "outcome", "failure")
+	PlacementSettled = define(2015, slog.LevelInfo, "placement.settled",
+		"An order is no longer outstanding.", "order", "kind", "backend_server", "model", "adapter", "reason")
 )
--- a/internal/fault/backend.go
+++ b/internal/fault/backend.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"briaryard/internal/model"
 )
@@ -13,6 +14,7 @@
 	CodeAnswerTooLarge  = register("answer-too-large", "Answer too large", http.StatusBadGateway, model.Ran, ExitUnavailable)
 	CodeServerStatus    = register("backend-server-status", "Backend server answered with a failure", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
 	CodeStreamSilent    = register("stream-silent", "Stream went silent", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
+	CodeOrderLate       = register("order-late", "Order not sent in time", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
 	CodeStreamMalformed = register("stream-malformed", "Stream cannot be read", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
 )
 
@@ -41,6 +43,16 @@
 	return fmt.Sprintf("the backend server answered with status %d", e.Status)
 }
 
+// OrderLate reports an order that was not sent because the sender's lease or the time for the
+// write had run out.
+type OrderLate struct{ After time.Duration }
+
+// Code implements Fault.
+func (e *OrderLate) Code() Code { return CodeOrderLate }
+func (e *OrderLate) Error() string {
+	return fmt.Sprintf("the order was not sent: the lease or the time to write it ran out after %s", e.After)
+}
+
 // StreamSilent reports a stream without data or keep-alive for too long.
 type StreamSilent struct{ FromToken int }
 
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -74,6 +74,37 @@
 	Epoch  uint64 `json:"epoch"`
 }
 
+// Placement is the state of placement. Orders and Missing are known only at the instance
+// that holds the lease, where Here is true.
+type Placement struct {
+	Holder  string    `json:"holder"`
+	Here    bool      `json:"here"`
+	Loads   int       `json:"loads"`
+	Orders  []Order   `json:"orders"`
+	Missing []Missing `json:"missing"`
+}
+
+// Order is an order to an engine that its announcements have not settled yet.
+type Order struct {
+	ID      string    `json:"id"`
+	Kind    string    `json:"kind"`
+	Server  string    `json:"backend_server"`
+	Model   string    `json:"model,omitempty"`
+	Adapter string    `json:"adapter,omitempty"`
+	Phase   string    `json:"phase"`
+	Since   time.Time `json:"since"`
+}
+
+// Missing is a pool with fewer engines in a failure domain than declared.
+type Missing struct {
+	Pool          string    `json:"pool"`
+	FailureDomain string    `json:"failure_domain"`
+	Want          int       `json:"want"`
+	Have          int       `json:"have"`
+	Since         time.Time `json:"since"`
+	Reason        string    `json:"reason,omitempty"`
+}
+
 // Leases is the answer of PathLeases.
 type Leases struct {
 	Leases []Lease `json:"leases"`
@@ -173,6 +204,8 @@
 	Leases        []Lease           `json:"leases"`
 	Leader        string            `json:"leader"`
 	Voters        []string          `json:"voters"`
+	// Placement is absent while placement is not declared.
+	Placement *Placement `json:"placement,omitempty"`
 	Members
 	Duties  []kernel.DutyInfo `json:"duties"`
 	Metrics []metric.Value    `json:"metrics"`
--- a/internal/port/control.go
+++ b/internal/port/control.go
@@ -1,6 +1,8 @@
 package port
 
 import (
+	"time"
+
 	"briaryard/internal/decide/state"
 	"briaryard/internal/model"
 )
@@ -29,6 +31,9 @@
 	// Lapsed is set when this instance holds the lease and can no longer be sure that it
 	// does. It may go on with what does no harm beside another holder.
 	Lapsed bool
+	// Until is when the lease runs out by this instance's clock. It is set if this instance
+	// holds the lease and it has not lapsed, and is sent anew at least every HeartbeatInterval.
+	Until time.Time
 }
 
 // ControlClient sends commands to the control group.
--- a/internal/port/dispatchmsg.go
+++ b/internal/port/dispatchmsg.go
@@ -35,6 +35,19 @@
 // LeaseName returns the name of a pool's dispatcher lease.
 func LeaseName(pool model.PoolID) string { return leasePrefix + string(pool) }
 
+// LeaseNames returns the names of the leases that should have a holder: one for each pool,
+// and that of placement if it is declared.
+func LeaseNames(c *model.Config) []string {
+	names := make([]string, 0, len(c.Pools)+1)
+	for id := range c.Pools {
+		names = append(names, LeaseName(id))
+	}
+	if c.Placement != nil {
+		names = append(names, PlacementLease)
+	}
+	return names
+}
+
 const leasePrefix = "dispatcher/"
 
 // LeasePool returns the pool of a dispatcher lease.
--- a/internal/service/control/sessions.go
+++ b/internal/service/control/sessions.go
@@ -74,16 +74,12 @@
 	}
 }
 
-// leaseNames returns the names of the dispatcher leases of a configuration's pools. The
+// leaseNames returns the names of the leases that a configuration declares. The
 // content was checked before it was proposed; one that cannot be read declares no pool.
 func leaseNames(accepted state.AcceptedConfig) []string {
 	c, err := declare.Parse(accepted.Content)
 	if err != nil {
 		return nil
 	}
-	names := make([]string, 0, len(c.Pools))
-	for id := range c.Pools {
-		names = append(names, port.LeaseName(id))
-	}
-	return names
+	return port.LeaseNames(c)
 }
--- a/internal/service/controlclient/local.go
+++ b/internal/service/controlclient/local.go
@@ -17,6 +17,8 @@
 	tick         = 100 * time.Millisecond
 	// awaitTimeout bounds an Await.
 	awaitTimeout = 10 * time.Second
+	// leaseTime is longer than any process runs: nobody else can take the leases.
+	leaseTime = 100 * 365 * 24 * time.Hour
 )
 
 type message struct {
@@ -140,7 +142,7 @@
 	return r
 }
 
-// publishConfig publishes the configuration in force and takes the leases of its pools.
+// publishConfig publishes the configuration in force and takes its leases.
 func (l *Local) publishConfig(now time.Time) {
 	accepted := l.machine.Config()
 	for _, sink := range l.configs {
@@ -150,8 +152,7 @@
 	if err != nil {
 		return
 	}
-	for id := range c.Pools {
-		name := port.LeaseName(id)
+	for _, name := range port.LeaseNames(c) {
 		if l.machine.Leases()[name].Holder == "" {
 			l.apply(now, state.AcquireLease{Name: name, Holder: l.self, Incarnation: l.incarnation, After: l.machine.Leases()[name].Epoch})
 		}
@@ -161,7 +162,7 @@
 func (l *Local) publishLeases() {
 	var out []port.Lease
 	for _, lease := range l.machine.Leases() {
-		out = append(out, port.Lease{Name: lease.Name, Holder: lease.Holder, Epoch: lease.Epoch})
+		out = append(out, port.Lease{Name: lease.Name, Holder: lease.Holder, Epoch: lease.Epoch, Until: time.Now().Add(leaseTime)})
 	}
 	for _, sink := range l.leases {
 		sink(out)
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -259,7 +259,7 @@
 func (r *Remote) publishLeases(table []controlcall.Lease) {
 	out := make([]port.Lease, 0, len(table))
 	for _, l := range table {
-		out = append(out, port.Lease{Name: l.Name, Holder: l.Holder, Epoch: l.Epoch, Lapsed: l.Lapsed})
+		out = append(out, port.Lease{Name: l.Name, Holder: l.Holder, Epoch: l.Epoch, Lapsed: l.Lapsed, Until: l.Until})
 	}
 	for _, sink := range r.leases {
 		sink(out)
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -45,6 +45,8 @@
 	ready  bool
 	// asked is when the instances were last asked for their requests.
 	asked time.Time
+	// reported is when the holder of the placement lease was last told the demand.
+	reported time.Time
 }
 
 // Service runs dispatchers.
@@ -153,10 +155,24 @@
 		if !p.ready && now.Sub(p.asked) >= askAgain {
 			s.ask(now, id, p)
 		}
+		if p.ready && now.Sub(p.reported) >= port.DemandInterval {
+			s.reportDemand(now, id, p)
+		}
 	}
 	s.perform(now)
 }
 
+// reportDemand tells the holder of the placement lease who uses a pool. A report that cannot
+// be sent is made up for by the next one.
+func (s *Service) reportDemand(now time.Time, id model.PoolID, p *pool) {
+	p.reported = now
+	for _, l := range s.table {
+		if l.Name == port.PlacementLease && l.Holder != "" {
+			_ = s.peers.Send(l.Holder, port.PlacementName, port.DemandMessage{Pool: id, Requests: p.decide.Demand()})
+		}
+	}
+}
+
 // setLeases starts and stops pools to match the leases held here.
 func (s *Service) setLeases(now time.Time, all []port.Lease) {
 	held := make(map[model.PoolID]port.Lease)
--- a/internal/service/engineclient/client.go
+++ b/internal/service/engineclient/client.go
@@ -14,8 +14,10 @@
 
 	"github.com/go-faster/errors"
 
+	"briaryard/internal/decide/placement"
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
+	"briaryard/internal/kernel"
 	"briaryard/internal/outcall"
 	"briaryard/internal/port"
 	"briaryard/internal/trust"
@@ -37,19 +39,40 @@
 )
 
 // New returns the service. The calls are secured as outgoing says.
-func New(log *event.Log, outgoing *trust.Outgoing) *outcall.Group {
-	c := &client{log: log, http: &http.Client{
-		Transport: outgoing.Transport(&http.Transport{
-			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableKeepAlives: true,
-		}),
+func New(log *event.Log, outgoing *trust.Outgoing) *Service {
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	c := &client{log: log, outgoing: outgoing, dial: outgoing.Dial(dial), http: &http.Client{
+		Transport:     outgoing.Transport(&http.Transport{DialContext: dial, DisableKeepAlives: true}),
 		CheckRedirect: trust.NoRedirects,
 	}}
-	return outcall.NewGroup(port.EngineClientName, c.call)
+	return &Service{Group: outcall.NewGroup(port.EngineClientName, c.call), client: c}
+}
+
+// Service calls engines: requests through its group, orders each in a duty of its own.
+type Service struct {
+	*outcall.Group
+	client *client
+	host   *kernel.Host
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(h *kernel.Host) error {
+	s.host = h
+	return s.Group.Start(h)
+}
+
+// Order implements port.OrderClient. Placement bounds the number of orders: one per engine.
+func (s *Service) Order(o port.OrderCall, reply func(placement.Outcome, error)) {
+	s.host.Go(port.EngineClientName+".order", func(ctx context.Context, _ *kernel.Duty) {
+		reply(s.client.order(ctx, o))
+	})
 }
 
 type client struct {
-	log  *event.Log
+	log      *event.Log
+	outgoing *trust.Outgoing
+	// dial opens a connection that is ready for a request, after the TLS handshake if any.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	http *http.Client
 }
 
--- a/internal/service/frontoperator/frontoperator_test.go
+++ b/internal/service/frontoperator/frontoperator_test.go
@@ -51,6 +51,10 @@
 
 func (members) Subscribe(func(*model.View)) {}
 
+type placements struct{ *fleet }
+
+func (placements) SubscribePlacement(func(port.PlacementStatus)) {}
+
 type configs struct{ *fleet }
 
 func (configs) Subscribe(func(*model.Config)) {}
@@ -61,7 +65,7 @@
 		Address: "127.0.0.1:0", Instance: "i1", Health: func() map[string]error { return nil }, Drain: func() {},
 	})
 	k := kernel.New(func(error) {})
-	for _, service := range []kernel.Service{members{&fleet{name: port.MembersName}}, configs{&fleet{name: port.ConfigName}}, control, s} {
+	for _, service := range []kernel.Service{members{&fleet{name: port.MembersName}}, configs{&fleet{name: port.ConfigName}}, placements{&fleet{name: port.PlacementName}}, control, s} {
 		Expect(k.Register(service)).To(Succeed())
 	}
 	Expect(k.Start(context.Background())).To(Succeed())
--- a/internal/service/frontoperator/message.go
+++ b/internal/service/frontoperator/message.go
@@ -7,6 +7,7 @@
 
 	"briaryard/internal/model"
 	"briaryard/internal/operator"
+	"briaryard/internal/port"
 )
 
 // status returns everything that the status page shows.
@@ -17,7 +18,7 @@
 		Revision: uint64(p.config.Revision), Accepted: uint64(p.accepted.Revision),
 		Confirmed: p.confirmed(), Exceptions: p.exceptions(time.Now()),
 		Leases: p.leaseList(), Leader: string(p.status.Leader), Voters: p.voters(),
-		Members: p.members(), Duties: p.duties, Metrics: s.metrics.Values(),
+		Placement: p.placementState(), Members: p.members(), Duties: p.duties, Metrics: s.metrics.Values(),
 	}
 }
 
@@ -50,6 +51,33 @@
 	return out
 }
 
+// placementState returns nil while placement is not declared.
+func (p picture) placementState() *operator.Placement {
+	if p.config.Placement == nil {
+		return nil
+	}
+	out := &operator.Placement{Orders: []operator.Order{}, Missing: []operator.Missing{}}
+	for _, l := range p.leases {
+		if l.Name == port.PlacementLease {
+			out.Holder = string(l.Holder)
+		}
+	}
+	st := &p.placement
+	out.Here, out.Loads = st.Held, st.Loads
+	for _, o := range st.Orders {
+		out.Orders = append(out.Orders, operator.Order{
+			ID: o.Order.ID.String(), Kind: o.Order.Kind.String(), Server: string(o.Order.Server), Model: string(o.Order.Model),
+			Adapter: o.Order.Adapter, Phase: o.Phase, Since: o.Since,
+		})
+	}
+	for _, m := range st.Shortages {
+		out.Missing = append(out.Missing, operator.Missing{
+			Pool: string(m.Pool), FailureDomain: string(m.Domain), Want: m.Want, Have: m.Have, Since: m.Since, Reason: m.Reason,
+		})
+	}
+	return out
+}
+
 func (p picture) voters() []string { return texts(p.status.Voters) }
 
 func (p picture) confirmed() []operator.Confirmation {
--- a/internal/service/frontoperator/picture.go
+++ b/internal/service/frontoperator/picture.go
@@ -27,6 +27,8 @@
 
 type observed struct{ status port.ControlStatus }
 
+type placed struct{ status port.PlacementStatus }
+
 // query asks for the picture; the handler waits on its ring.
 type query struct{ reply *ring.Ring[picture] }
 
@@ -35,6 +37,7 @@
 func (accepted) message() {}
 func (leased) message()   {}
 func (observed) message() {}
+func (placed) message()   {}
 func (query) message()    {}
 
 // maxSeen bounds the changes that an instance remembers by itself.
@@ -48,6 +51,8 @@
 	accepted acceptedConfig
 	leases   []port.Lease
 	status   port.ControlStatus
+	// placement is this instance's own; it gives orders only while it holds the lease.
+	placement port.PlacementStatus
 	// seen lists the accepted changes since the start, without content.
 	seen   []acceptedConfig
 	duties []kernel.DutyInfo
@@ -66,6 +71,8 @@
 		p.leases = m.leases
 	case observed:
 		p.status = m.status
+	case placed:
+		p.placement = m.status
 	case query:
 		p.duties = s.host.Duties()
 		s.refresh(now)
--- a/internal/service/frontoperator/service.go
+++ b/internal/service/frontoperator/service.go
@@ -67,19 +67,21 @@
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string {
-	return []string{port.MembersName, port.ControlClientName, port.ConfigName}
+	return []string{port.MembersName, port.ControlClientName, port.ConfigName, port.PlacementName}
 }
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
 	var (
-		members port.Members
-		config  port.Config
+		members   port.Members
+		config    port.Config
+		placement port.Placement
 	)
 	err := r.Bind(
 		kernel.Into(port.MembersName, &members),
 		kernel.Into(port.ConfigName, &config),
 		kernel.Into(port.ControlClientName, &s.control),
+		kernel.Into(port.PlacementName, &placement),
 	)
 	if err != nil {
 		return err
@@ -88,6 +90,7 @@
 	config.Subscribe(func(c *model.Config) { s.offer(inForce{c}) })
 	s.control.SubscribeConfig(func(c acceptedConfig) { s.offer(accepted{c}) })
 	s.control.SubscribeLeases(func(l []port.Lease) { s.offer(leased{l}) })
+	placement.SubscribePlacement(func(st port.PlacementStatus) { s.offer(placed{st}) })
 	if o, ok := s.control.(port.ControlObserver); ok {
 		o.SubscribeStatus(func(st port.ControlStatus) { s.offer(observed{st}) })
 	}
--- /dev/null
+++ b/internal/service/placement/service.go
@@ -0,0 +1,230 @@
+package placement
+
+import (
+	"context"
+	"time"
+
+	decide "briaryard/internal/decide/placement"
+	"briaryard/internal/event"
+	"briaryard/internal/kernel"
+	"briaryard/internal/metric"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/ring"
+	"briaryard/internal/wire/dispatchwire"
+)
+
+const (
+	// ringCapacity holds the demand of all pools and the results of one order per engine at the
+	// design size.
+	ringCapacity = 1024
+	// tick is the resolution of decisions; loads take seconds or more.
+	tick = 100 * time.Millisecond
+	// publishEvery is the interval at which operators see the state anew.
+	publishEvery = time.Second
+	// resultWithin exceeds the limits of the dial and of the answer in the engine client.
+	resultWithin = 6 * time.Second
+	// takeoverWait is the time after which the previous holder's lease has certainly run out,
+	// whichever clock runs faster, and an order that it had begun to send has arrived or was
+	// dropped by the engine.
+	takeoverWait = (port.LeaseDuration + port.OrderArrivalLimit) * (100 + port.MaxClockDrift) / 100
+)
+
+type message interface{ message() }
+
+type leased struct{ leases []port.Lease }
+
+type viewed struct{ view *model.View }
+
+type configured struct{ config *model.Config }
+
+type received struct{ from port.PeerMessage }
+
+type resulted struct {
+	order   model.OrderID
+	outcome decide.Outcome
+	err     error
+}
+
+func (leased) message()     {}
+func (viewed) message()     {}
+func (configured) message() {}
+func (received) message()   {}
+func (resulted) message()   {}
+
+// Service gives orders to engines.
+type Service struct {
+	log     *event.Log
+	metrics *metric.Set
+	ring    *ring.Ring[message]
+	peers   port.Peers
+	client  port.OrderClient
+	self    model.InstanceID
+	sinks   []func(port.PlacementStatus)
+
+	// The fields below belong to the placement duty.
+	machine   *decide.Machine
+	lease     decide.Lease
+	settled   bool
+	published time.Time
+}
+
+// New returns the service.
+func New(log *event.Log, metrics *metric.Set) *Service {
+	return &Service{
+		log: log, metrics: metrics,
+		ring:    ring.New[message](port.PlacementName, ringCapacity, ring.Refuse),
+		machine: decide.New(decide.Options{TakeoverWait: takeoverWait, ResultWithin: resultWithin}),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return port.PlacementName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{port.PeersName, port.MembersName, port.ControlClientName, port.ConfigName, port.EngineClientName}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(r kernel.Resolver) error {
+	var (
+		members port.Members
+		control port.ControlClient
+		config  port.Config
+	)
+	err := r.Bind(
+		kernel.Into(port.PeersName, &s.peers),
+		kernel.Into(port.MembersName, &members),
+		kernel.Into(port.ControlClientName, &control),
+		kernel.Into(port.ConfigName, &config),
+		kernel.Into(port.EngineClientName, &s.client),
+	)
+	if err != nil {
+		return err
+	}
+	s.self, _ = s.peers.Self()
+	control.SubscribeLeases(func(l []port.Lease) { s.offer(leased{l}) })
+	members.Subscribe(func(v *model.View) { s.offer(viewed{v}) })
+	config.Subscribe(func(c *model.Config) { s.offer(configured{c}) })
+	s.peers.Handle(port.PlacementName, dispatchwire.New(), func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
+	return nil
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(h *kernel.Host) error {
+	h.Go(port.PlacementName, kernel.Loop[message]{
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+	}.Run, s.ring)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.ring.Close()
+	return nil
+}
+
+// SubscribePlacement implements port.Placement.
+func (s *Service) SubscribePlacement(sink func(port.PlacementStatus)) {
+	s.sinks = append(s.sinks, sink)
+}
+
+func (s *Service) offer(m message) {
+	if err := s.ring.Offer(m); err != nil {
+		s.log.Emit(event.RingRefused, port.PlacementName, err.Error())
+	}
+}
+
+func (s *Service) handle(now time.Time, m message) {
+	switch m := m.(type) {
+	case leased:
+		s.setLease(now, m.leases)
+	case viewed:
+		s.settled = m.view.Settled
+		s.machine.SetServers(now, m.view.Servers)
+	case configured:
+		s.machine.SetConfig(m.config)
+	case received:
+		if d, ok := m.from.Body.(port.DemandMessage); ok {
+			s.machine.SetDemand(now, decide.Demand{Pool: d.Pool, Requests: d.Requests})
+		}
+	case resulted:
+		s.result(now, m)
+	}
+}
+
+// setLease takes the lease table. Before the view is settled, engines may be missing from it.
+func (s *Service) setLease(now time.Time, all []port.Lease) {
+	var l decide.Lease
+	for _, e := range all {
+		if e.Name == port.PlacementLease && e.Holder == s.self && !e.Lapsed && s.settled {
+			l = decide.Lease{Held: true, Epoch: e.Epoch, Until: e.Until}
+		}
+	}
+	was := s.lease
+	s.lease = l
+	s.machine.SetLease(now, l)
+	if was.Held && (!l.Held || l.Epoch != was.Epoch) {
+		s.log.Emit(event.PlacementStopped, was.Epoch)
+	}
+	if l.Held && (!was.Held || l.Epoch != was.Epoch) {
+		s.log.Emit(event.PlacementStarted, l.Epoch)
+	}
+}
+
+func (s *Service) result(now time.Time, r resulted) {
+	failure := ""
+	if r.err != nil {
+		failure = r.err.Error()
+	}
+	s.log.Emit(event.PlacementAnswered, r.order.String(), r.outcome.String(), failure)
+	s.metrics.Counter(metric.PlacementOrders, r.outcome.String()).Inc(1)
+	s.machine.Result(now, r.order, r.outcome)
+}
+
+// onTick decides. A tick can have waited in its channel while the process was stopped, so the
+// clock is read anew.
+func (s *Service) onTick(time.Time) {
+	now := time.Now()
+	s.machine.Step(now)
+	decisions := s.machine.Take()
+	for i := range decisions {
+		s.perform(&decisions[i])
+	}
+	if len(decisions) > 0 || now.Sub(s.published) >= publishEvery {
+		s.publish(now)
+	}
+}
+
+func (s *Service) perform(d *decide.Decision) {
+	o, in := &d.Order, &d.Inputs
+	switch d.Kind {
+	case decide.Ordered:
+		s.log.Emit(event.PlacementOrdered, o.ID.String(), o.Kind.String(), o.Server, o.Model, o.Adapter, d.Reason,
+			in.Pool, in.Domain, in.Want, in.Have, in.Loads, in.Limit, in.Gains, in.Loses, d.Server.ChecksFencing)
+		id := o.ID
+		s.client.Order(port.OrderCall{Order: *o, Address: d.Server.Address, Until: d.Until}, func(outcome decide.Outcome, err error) {
+			s.offer(resulted{id, outcome, err})
+		})
+	case decide.Withheld:
+		s.log.Emit(event.PlacementWithheld, d.Reason, in.Pool, in.Domain, in.Want, in.Have, in.Loads, in.Limit)
+	case decide.Settled:
+		s.log.Emit(event.PlacementSettled, o.ID.String(), o.Kind.String(), o.Server, o.Model, o.Adapter, d.Reason)
+	}
+}
+
+// publish brings the metrics and the picture of operators up to date.
+func (s *Service) publish(now time.Time) {
+	s.published = now
+	state := s.machine.State()
+	missing := 0
+	for _, m := range state.Shortages {
+		missing += m.Want - m.Have
+	}
+	s.metrics.Gauge(metric.PlacementMissing, "").Update(int64(missing))
+	s.metrics.Gauge(metric.PlacementOutstanding, "").Update(int64(len(state.Orders)))
+	for _, sink := range s.sinks {
+		sink(port.PlacementStatus{State: state})
+	}
+}
--- a/internal/trust/outgoing.go
+++ b/internal/trust/outgoing.go
@@ -72,17 +72,35 @@
 		if dial == nil {
 			dial = (&net.Dialer{}).DialContext
 		}
-		base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return o.handshake(ctx, c, network, address)
-		}
+		base.DialTLSContext = o.Dial(dial)
 	}
 	return &secured{outgoing: o, base: base}
 }
 
+// Dial returns a function that opens a connection, with an authority after a TLS handshake.
+func (o *Outgoing) Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if o == nil || o.pool == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return o.handshake(ctx, c, network, address)
+	}
+}
+
+// Authorize adds the token to the header of a call that does not use Transport.
+func (o *Outgoing) Authorize(h http.Header) {
+	if o == nil {
+		return
+	}
+	if token := o.token(); token != "" {
+		h.Set("Authorization", "Bearer "+token)
+	}
+}
+
 // handshake reports a failure as one of dialling, since no part of the call has been sent.
 func (o *Outgoing) handshake(ctx context.Context, c net.Conn, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
