--- a/internal/proving/fleet_test.go
+++ b/internal/proving/fleet_test.go
@@ -35,6 +35,8 @@
 	slots                      int
 	tokenTime                  time.Duration
 	config                     string
+	// engineFlags are added to the flags of each engine.
+	engineFlags []string
 }
 
 // fleet is a set of processes with a relay before each peer address and each engine.
@@ -59,7 +61,7 @@
 
 // network returns the addresses of the n-th spec of this run.
 func network(n int) string {
-	const first, runs, specs = 50, 35, 5
+	const first, runs, specs = 50, 34, 6
 	return fmt.Sprintf("127.%d", first+os.Getpid()%runs*specs+n)
 }
 
@@ -129,9 +131,12 @@
 func (f *fleet) startEngine(i int) {
 	name := fmt.Sprintf("engine-%d", i)
 	f.toEngine[name] = newRelay(f.engineAddress(i))
-	f.engines[name] = start(name, "standin", "engine", "--id", name, "--address", f.engineAddress(i),
+	flags := []string{
+		"standin", "engine", "--id", name, "--address", f.engineAddress(i),
 		"--advertise", f.toEngine[name].Address(), "--slots", fmt.Sprint(f.slots), "--token-time", f.tokenTime.String(),
-		"--generation", fmt.Sprintf("g%d", (i-1)%3+1), "--failure-domain", f.domain(i), "--instances", f.announceTo(i))
+		"--generation", fmt.Sprintf("g%d", (i-1)%3+1), "--failure-domain", f.domain(i), "--instances", f.announceTo(i),
+	}
+	f.engines[name] = start(name, append(flags, f.engineFlags...)...)
 }
 
 // run runs a command of the program and returns its output.
