--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -47,14 +47,19 @@
 }
 
 func start() *fixture {
+	return startWith(testConfig, engine.Options{ID: "e1", Model: "notes", Domain: "d1", Slots: 4, TokenTime: 5 * time.Millisecond})
+}
+
+// startWith starts an instance with a configuration and an engine.
+func startWith(config string, o engine.Options) *fixture {
 	settings := app.Settings{
 		ID: "i1", FailureDomain: "d1", CallerAddress: "127.0.0.1:0", ServerAddress: "127.0.0.1:0",
 		OperAddress: "127.0.0.1:0", AddressTTL: time.Second, MaxBodyBytes: 1 << 20, ConfirmWithin: 5 * time.Second,
 	}
 	Expect(settings.Check()).To(BeEmpty())
 	f := &fixture{
-		instance: app.New(settings, slog.New(slog.NewTextHandler(io.Discard, nil)), []byte(testConfig)),
-		engine:   engine.New(engine.Options{ID: "e1", Model: "notes", Domain: "d1", Slots: 4, TokenTime: 5 * time.Millisecond}),
+		instance: app.New(settings, slog.New(slog.NewTextHandler(io.Discard, nil)), []byte(config)),
+		engine:   engine.New(o),
 		booking:  booking.New(booking.Options{ID: "b1", Service: "booking", Domain: "d1", Slots: 4, Delay: 20 * time.Millisecond}),
 	}
 	Expect(f.instance.Start(context.Background())).To(Succeed())
