Keep the numbering of orders when a lease lapses and is valid again

Cause: the numbers of orders began anew when the lease lapsed for a moment, so that two orders of one epoch had the same id and an engine's report about the first ended the second.

Change: orders are numbered over the life of the process, and a lease that comes back in the same epoch is no takeover.

--- a/internal/decide/placement/machine.go
+++ b/internal/decide/placement/machine.go
@@ -71,14 +71,16 @@
 type Machine struct {
 	options Options
 	lease   Lease
-	// tookOver is when this instance learned of the epoch that it holds.
+	// epoch is the last one that this instance held, and tookOver when it learned of it.
+	epoch     model.Epoch
 	tookOver  time.Time
 	config    *model.Config
 	engines   map[model.BackendServerID]*engine
 	demand    map[model.PoolID]seenDemand
 	shortages map[place]*shortage
 	// nextLoad is when the bytes of the last load are paid for.
-	nextLoad  time.Time
+	nextLoad time.Time
+	// seq numbers the orders over all epochs of this instance.
 	seq       uint64
 	decisions []Decision
 }
@@ -92,11 +94,11 @@
 }
 
 // SetLease takes the state of the lease. A new epoch is a takeover, also from an earlier
-// epoch of this instance.
+// epoch of this instance. A lease that lapsed and is valid again in the same epoch is none:
+// nobody else has held it.
 func (m *Machine) SetLease(now time.Time, l Lease) {
-	if l.Held && (!m.lease.Held || l.Epoch != m.lease.Epoch) {
-		m.tookOver = now
-		m.seq = 0
+	if l.Held && l.Epoch != m.epoch {
+		m.epoch, m.tookOver = l.Epoch, now
 		clear(m.shortages)
 		// The previous holder may just have begun the largest load.
 		m.payFor(now, m.largestModel())
--- a/internal/decide/placement/machine_test.go
+++ b/internal/decide/placement/machine_test.go
@@ -75,11 +75,12 @@
 	given    [2]map[model.BackendServerID]model.Order
 	lastLoad [2]time.Time
 	unloaded map[string]time.Time
+	ids      map[model.OrderID]bool
 	orders   int
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: start, holder: -1, demand: make(map[model.PoolID]model.Tier), unloaded: make(map[string]time.Time)}
+	w := &world{t: t, now: start, holder: -1, demand: make(map[model.PoolID]model.Tier), unloaded: make(map[string]time.Time), ids: make(map[model.OrderID]bool)}
 	for i := range w.machines {
 		w.machines[i] = placement.New(options)
 		w.machines[i].SetConfig(configured())
@@ -186,6 +187,10 @@
 	if o.ID.Epoch != l.Epoch {
 		w.t.Fatalf("order %s with another token than %d", o.ID, l.Epoch)
 	}
+	if w.ids[o.ID] {
+		w.t.Fatalf("order id %s is used twice", o.ID)
+	}
+	w.ids[o.ID] = true
 	if before, ok := w.given[i][o.Server]; ok {
 		w.t.Fatalf("order %s for %s while %s is outstanding", o.ID, o.Server, before.ID)
 	}
@@ -342,8 +347,13 @@
 					}
 				}
 			},
+			"lease lapses": func(*rapid.T) {
+				w.machines[w.holder].SetLease(w.now, placement.Lease{})
+				w.leases[w.holder] = placement.Lease{}
+				w.grant(w.holder)
+			},
 			"move the lease":  func(t *rapid.T) { w.move(rapid.IntRange(0, 1).Draw(t, "to"), false) },
-			"holder is lost":  func(t *rapid.T) { w.move(1-max(w.holder, 0), true) },
+			"holder is lost":  func(*rapid.T) { w.move(1-max(w.holder, 0), true) },
 			"an engine stops": func(t *rapid.T) { w.leave(t) },
 		})
 	})
--- a/internal/decide/placement/rules_test.go
+++ b/internal/decide/placement/rules_test.go
@@ -140,3 +140,21 @@
 		}
 	}
 }
+
+// Guards against a failure domain that loses its last engine of a model because another
+// domain has more than declared.
+func TestLastEngineOfAModelInADomainIsKept(t *testing.T) {
+	far := []model.BackendServer{engineOf("e2", true, "a"), engineOf("e3", true, "a")}
+	for i := range far {
+		far[i].Domain = "d2"
+	}
+	m := holding(append(far, engineOf("e1", true, "a"))...)
+	now := hold + time.Second
+	for _, id := range []model.PoolID{"a", "b"} {
+		m.SetDemand(start.Add(now), placement.Demand{Pool: id})
+	}
+	o := ordersAt(m, now)
+	if len(o) != 1 || o[0].Kind != model.UnloadModel || o[0].Server == "e1" {
+		t.Fatalf("orders %v, want one unload in d2", o)
+	}
+}
