Count the surplus of a pool once for each place

Change: the surplus is counted once per pool and place, and the engines are kept sorted between views.

--- a/internal/decide/placement/engine.go
+++ b/internal/decide/placement/engine.go
@@ -87,7 +87,7 @@
 
 // Result takes the result of sending an order.
 func (m *Machine) Result(now time.Time, id model.OrderID, o Outcome) {
-	for _, e := range m.engines {
+	for _, e := range m.sorted {
 		if e.order == nil || e.order.order.ID != id || e.order.phase != sending {
 			continue
 		}
@@ -109,8 +109,7 @@
 
 // settle ends the orders whose fate the announced state shows.
 func (m *Machine) settle(now time.Time) {
-	for _, id := range sortedEngines(m.engines) {
-		e := m.engines[id]
+	for _, e := range m.sorted {
 		if !e.present && e.away.IsZero() {
 			e.away = now
 		}
--- a/internal/decide/placement/machine.go
+++ b/internal/decide/placement/machine.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"briaryard/internal/model"
@@ -72,10 +75,12 @@
 	options Options
 	lease   Lease
 	// epoch is the last one that this instance held, and tookOver when it learned of it.
-	epoch     model.Epoch
-	tookOver  time.Time
-	config    *model.Config
-	engines   map[model.BackendServerID]*engine
+	epoch    model.Epoch
+	tookOver time.Time
+	config   *model.Config
+	engines  map[model.BackendServerID]*engine
+	// sorted lists the engines by id.
+	sorted    []*engine
 	demand    map[model.PoolID]seenDemand
 	shortages map[place]*shortage
 	// nextLoad is when the bytes of the last load are paid for.
@@ -131,6 +136,7 @@
 			delete(m.engines, id)
 		}
 	}
+	m.sorted = slices.SortedFunc(maps.Values(m.engines), func(a, b *engine) int { return cmp.Compare(a.record.ID, b.record.ID) })
 }
 
 // SetDemand takes the demand of a pool.
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -9,16 +9,12 @@
 	"briaryard/internal/model"
 )
 
-func sortedEngines(engines map[model.BackendServerID]*engine) []model.BackendServerID {
-	return slices.Sorted(maps.Keys(engines))
-}
-
 // plan gives orders for the places with too few engines, the most urgent demand first, and
 // then for missing adapters.
 func (m *Machine) plan(now time.Time) {
 	inDomain := make(map[model.FailureDomain][]*engine)
-	for _, id := range sortedEngines(m.engines) {
-		if e := m.engines[id]; e.present {
+	for _, e := range m.sorted {
+		if e.present {
 			inDomain[e.record.Domain] = append(inDomain[e.record.Domain], e)
 		}
 	}
@@ -166,7 +162,7 @@
 // The load of an engine that was removed is not counted, or its death would stop all loads.
 func (m *Machine) loads() int {
 	n := 0
-	for _, e := range m.engines {
+	for _, e := range m.sorted {
 		if e.present && (e.order != nil && e.order.order.Kind.Loads() || e.running()) {
 			n++
 		}
@@ -192,12 +188,17 @@
 	var best *engine
 	var loses model.PoolID
 	most := 0
+	above := make(map[model.PoolID]int)
 	for _, e := range engines {
 		if reserved[e] || e.record.Serves(at.pool) || e.record.State != model.Alive {
 			continue
 		}
 		for _, id := range e.record.Pools {
-			surplus := m.surplus(id, at.domain, engines)
+			surplus, counted := above[id]
+			if !counted {
+				surplus = m.surplus(id, at.domain, engines)
+				above[id] = surplus
+			}
 			if surplus <= 0 {
 				continue
 			}
@@ -247,8 +248,10 @@
 func (m *Machine) loadAdapters(now time.Time, pools []model.Pool) {
 	for i := range pools {
 		p := &pools[i]
-		for _, id := range sortedEngines(m.engines) {
-			e := m.engines[id]
+		if len(p.Adapters) == 0 {
+			continue
+		}
+		for _, e := range m.sorted {
 			if !m.takesOrder(now, e) || !e.record.Serves(p.ID) {
 				continue
 			}
--- a/internal/decide/placement/state.go
+++ b/internal/decide/placement/state.go
@@ -39,8 +39,8 @@
 // State returns the present state, sorted.
 func (m *Machine) State() State {
 	s := State{Held: m.lease.Held, Epoch: m.lease.Epoch, Loads: m.loads()}
-	for _, id := range sortedEngines(m.engines) {
-		if o := m.engines[id].order; o != nil {
+	for _, e := range m.sorted {
+		if o := e.order; o != nil {
 			s.Orders = append(s.Orders, OutstandingOrder{Order: o.order, Phase: phases[o.phase], Since: o.sentAt})
 		}
 	}
