Check the demand of a pool and the end of a published lease in the models

Cause: placement relies on both, and only its own tests covered them.

Change: the traces of dispatchers compare the demand by tier with their own account; the lease test bounds the published end of a lease.

--- a/internal/decide/controlcall/machine_test.go
+++ b/internal/decide/controlcall/machine_test.go
@@ -152,6 +152,9 @@
 		t.Fatalf("published %+v, want only the lease of this incarnation", h.leases)
 	}
 	for !h.leases[0].Lapsed {
+		if until := h.leases[0].Until; !h.now.Before(until) || until.Sub(sent) > 891*time.Millisecond {
+			t.Fatalf("the lease is published at %v as lasting until %v from the send time", h.now.Sub(sent), until.Sub(sent))
+		}
 		h.pass(controlcall.Tick)
 		h.take(h.Answered(h.now, delayed.To, controlcall.HeartbeatReply{Seq: delayed.Seq, Answer: session.Answer{Leases: table}}))
 		if h.now.Sub(sent) > 2*time.Second {
--- a/internal/decide/dispatch/pool_test.go
+++ b/internal/decide/dispatch/pool_test.go
@@ -103,6 +103,16 @@
 		t.Fatalf("pool counts %d waiting and %d outstanding, want %d and %d",
 			waiting, outstanding, len(w.waiting), len(w.outstanding))
 	}
+	var demand [model.TierCount]int
+	for _, d := range w.waiting {
+		demand[d.Tier]++
+	}
+	for _, o := range w.outstanding {
+		demand[o.Descriptor.Tier]++
+	}
+	if w.pool.Ready() && w.pool.Demand() != demand {
+		t.Fatalf("demand by tier is %v, want %v", w.pool.Demand(), demand)
+	}
 }
 
 func (w *world) register(tier model.Tier, team model.TeamID, prompt int, timeout time.Duration) model.Descriptor {
