--- a/internal/app/placement_test.go
+++ b/internal/app/placement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -38,6 +40,12 @@
 		}, 30).Should(BeZero())
 		Expect(s.Placement.Holder).To(Equal("i1"))
 		Expect(s.Placement.Here).To(BeTrue())
+		response, err := http.Get("http://" + f.instance.OperatorAddress() + "/")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		page, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(And(ContainSubstring("missing engines"), HaveSuffix("</html>\n")))
 	})
 
 	// Guards against orders to the engines of a fleet that has not declared placement.
--- a/internal/service/placement/service.go
+++ b/internal/service/placement/service.go
@@ -67,6 +67,10 @@
 	lease     decide.Lease
 	settled   bool
 	published time.Time
+	// declared tells whether the configuration has a placement section, and shown whether the
+	// last published state had anything in it.
+	declared bool
+	shown    bool
 }
 
 // New returns the service.
@@ -144,6 +148,7 @@
 		s.settled = m.view.Settled
 		s.machine.SetServers(now, m.view.Servers)
 	case configured:
+		s.declared = m.config.Placement != nil
 		s.machine.SetConfig(m.config)
 	case received:
 		if d, ok := m.from.Body.(port.DemandMessage); ok {
@@ -186,6 +191,9 @@
 // onTick decides. A tick can have waited in its channel while the process was stopped, so the
 // clock is read anew.
 func (s *Service) onTick(time.Time) {
+	if !s.declared && !s.shown {
+		return
+	}
 	now := time.Now()
 	s.machine.Step(now)
 	decisions := s.machine.Take()
@@ -218,6 +226,7 @@
 func (s *Service) publish(now time.Time) {
 	s.published = now
 	state := s.machine.State()
+	s.shown = state.Held || len(state.Orders)+len(state.Shortages) > 0
 	missing := 0
 	for _, m := range state.Shortages {
 		missing += m.Want - m.Have
