Read the configuration history from the leader at every instance

Cause: an instance that follows the control group as a client listed only the changes it had seen since its start, so that the history depended on the instance that was asked.

Change: state.ListChanges reads the accepted changes without content in pages of 256, newest page first; the cursor is a revision, so that a change accepted between two pages moves nothing. The leader answers it like Lookup, without a log entry, once a quorum confirms it. The operator endpoint puts the pages together and falls back on what it has seen, marked as incomplete, when the control group does not answer. ControlStatus.History is gone: there is one way to the history.

--- a/cmd/briaryard/config.go
+++ b/cmd/briaryard/config.go
@@ -172,7 +172,7 @@
 		}
 		p.table(rows)
 		if !h.Complete {
-			p.progress("only the changes that the instance has seen since it started")
+			p.progress("the control group does not answer; only the changes that the instance has seen since it started")
 		}
 	})
 }
--- a/internal/decide/state/command.go
+++ b/internal/decide/state/command.go
@@ -97,6 +97,10 @@
 	Remove   bool
 }
 
+// ListChanges reads a page of the accepted changes without their content: the newest ones
+// below Before, or below none if it is zero.
+type ListChanges struct{ Before model.Revision }
+
 func (Claim) command()        {}
 func (Finish) command()       {}
 func (Abandon) command()      {}
@@ -109,6 +113,7 @@
 func (AcquireLease) command() {}
 func (ReleaseLease) command() {}
 func (ChangeVoters) command() {}
+func (ListChanges) command()  {}
 
 // ClaimStatus is the answer to a command about a key.
 type ClaimStatus uint8
@@ -164,6 +169,10 @@
 	Lease  Lease
 	// Revision is the accepted revision.
 	Revision model.Revision
+	// Changes is the page of a ListChanges, oldest first, and Older says that older changes
+	// than these exist.
+	Changes []AcceptedConfig
+	Older   bool
 	// Err is set when the command was refused.
 	Err fault.Fault
 }
@@ -195,6 +204,8 @@
 		return "ReleaseLease"
 	case ChangeVoters:
 		return "ChangeVoters"
+	case ListChanges:
+		return "ListChanges"
 	}
 	return "unknown command"
 }
--- a/internal/decide/state/configs.go
+++ b/internal/decide/state/configs.go
@@ -1,14 +1,20 @@
 package state
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"briaryard/internal/fault"
 	"briaryard/internal/model"
 )
 
+// ChangesPerPage bounds the answer to a ListChanges: with names of at most 1 KiB each it stays
+// below 1 MiB.
+const ChangesPerPage = 256
+
 // configs holds the accepted configurations. Invariant: the revision only grows, and at
 // most one change is accepted for each number.
 type configs struct {
@@ -111,6 +117,21 @@
 	}
 }
 
+// list returns a page of the history. Revisions only grow, so that a change accepted between
+// two pages moves none of the older ones.
+func (c *configs) list(before model.Revision) Result {
+	end := len(c.history)
+	if before > 0 {
+		end, _ = slices.BinarySearchFunc(c.history, before, func(h Change, r model.Revision) int { return cmp.Compare(h.Revision, r) })
+	}
+	begin := max(0, end-ChangesPerPage)
+	r := Result{Older: begin > 0}
+	for i := range c.history[begin:end] {
+		r.Changes = append(r.Changes, c.history[begin+i].AcceptedConfig)
+	}
+	return r
+}
+
 // attemptDigest identifies a proposal. A change that is proposed again on another base has
 // another digest, so it is judged anew.
 func attemptDigest(cmd ApplyConfig, content Digest) Digest {
--- a/internal/decide/state/configs_test.go
+++ b/internal/decide/state/configs_test.go
@@ -181,3 +181,43 @@
 		}
 	}
 }
+
+// Guards against a page of the history that drops or repeats a change, also when the oldest
+// changes were forgotten or one is accepted between two pages.
+func TestHistoryInPages(t *testing.T) {
+	limits := state.DefaultLimits()
+	limits.Changes = 2*state.ChangesPerPage + 10
+	m := state.NewMachine(limits)
+	accept := func() {
+		r := m.Config().Revision
+		m.Apply(m.Applied()+1, time.Unix(0, 0), state.ApplyConfig{ChangeID: fmt.Sprint(r), Base: r, Number: r + 2})
+	}
+	for range limits.Changes + 20 {
+		accept()
+	}
+	var want, got []model.Revision
+	for _, c := range m.History() {
+		want = append(want, c.Revision)
+	}
+	for before := model.Revision(0); ; {
+		r, ok := m.Read(state.ListChanges{Before: before})
+		if !ok || len(r.Changes) == 0 || len(r.Changes) > state.ChangesPerPage {
+			t.Fatalf("a page of %d changes", len(r.Changes))
+		}
+		var page []model.Revision
+		for _, c := range r.Changes {
+			page = append(page, c.Revision)
+		}
+		if got == nil {
+			accept()
+		}
+		got = append(page, got...)
+		if before = page[0]; !r.Older {
+			break
+		}
+	}
+	// The change accepted after the first page pushed the oldest one out.
+	if !reflect.DeepEqual(got, want[1:]) {
+		t.Fatalf("got %d changes from %d to %d, want %d", len(got), got[0], got[len(got)-1], len(want)-1)
+	}
+}
--- a/internal/decide/state/machine.go
+++ b/internal/decide/state/machine.go
@@ -119,12 +119,24 @@
 		return Result{Lease: m.acquire(c)}
 	case ReleaseLease:
 		return Result{Lease: m.release(c)}
+	}
+	r, _ := m.Read(c)
+	return r
+}
+
+// Read answers a command that changes nothing, or reports false.
+func (m *Machine) Read(c Command) (Result, bool) {
+	switch c := c.(type) {
 	case Lookup:
-		return m.Lookup(c)
+		return m.Lookup(c), true
 	case Await:
-		return m.Lookup(c.Lookup)
+		return m.Lookup(c.Lookup), true
+	case ListChanges:
+		r := m.configs.list(c.Before)
+		r.Index = m.applied
+		return r, true
 	}
-	return Result{}
+	return Result{}, false
 }
 
 // Lookup reads the claim of a key.
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -121,8 +121,9 @@
 	At       time.Time `json:"at"`
 }
 
-// History is the answer of PathHistory, oldest first. Complete is false if the instance
-// only knows the changes that it has seen since it started.
+// History is the answer of PathHistory, oldest first: the changes that the control group keeps.
+// Complete is false if it did not answer; then the changes are those that the instance has seen
+// since it started.
 type History struct {
 	Complete bool     `json:"complete"`
 	Changes  []Change `json:"changes"`
--- a/internal/port/controlstatus.go
+++ b/internal/port/controlstatus.go
@@ -13,9 +13,6 @@
 	Voters []model.InstanceID
 	// Confirmed lists the revision that each live instance has in force.
 	Confirmed []Confirmation
-	// History lists accepted changes without their content, oldest first. It may be empty
-	// where the client only follows heartbeats.
-	History []state.AcceptedConfig
 }
 
 // ControlObserver is implemented by control clients that publish their status. It is apart
--- a/internal/service/control/requests.go
+++ b/internal/service/control/requests.go
@@ -16,7 +16,8 @@
 type request struct {
 	from model.InstanceID
 	id   uint64
-	// lookup is set for a Lookup or Await.
+	// read is the command to answer without the log; lookup and await are set for an Await.
+	read   state.Command
 	lookup state.Lookup
 	await  bool
 	at     time.Time
@@ -47,11 +48,11 @@
 func (s *Service) command(now time.Time, from model.InstanceID, m port.CommandRequest) {
 	r := request{from: from, id: m.ID, at: now}
 	switch c := m.Command.(type) {
-	case state.Lookup:
-		r.lookup = c
+	case state.Lookup, state.ListChanges:
+		r.read = c
 		s.read(now, r)
 	case state.Await:
-		r.lookup, r.await = c.Lookup, true
+		r.read, r.lookup, r.await = c, c.Lookup, true
 		s.read(now, r)
 	case state.ChangeVoters:
 		s.changeVoters(now, r, c)
@@ -101,7 +102,7 @@
 		s.notLeader(r)
 		return
 	}
-	result := s.machine.Lookup(r.lookup)
+	result, _ := s.machine.Read(r.read)
 	waiting := r.await && result.Claim == state.ClaimHeld && now.Sub(r.at) < awaitTimeout
 	if !waiting || s.requests.parked >= awaitLimit {
 		s.reply(r, result)
--- a/internal/service/controlclient/local.go
+++ b/internal/service/controlclient/local.go
@@ -123,8 +123,8 @@
 }
 
 func (l *Local) apply(now time.Time, c state.Command) state.Result {
-	if lookup, ok := c.(state.Lookup); ok {
-		return l.machine.Lookup(lookup)
+	if r, ok := l.machine.Read(c); ok {
+		return r
 	}
 	l.index++
 	r := l.machine.Apply(l.index, now, c)
@@ -174,9 +174,6 @@
 		Leader: l.self, Voters: []model.InstanceID{l.self},
 		Confirmed: []port.Confirmation{{Instance: l.self, Revision: l.inForce}},
 	}
-	for _, change := range l.machine.History() {
-		status.History = append(status.History, change.AcceptedConfig)
-	}
 	for _, lease := range l.machine.Leases() {
 		status.Leases = append(status.Leases, lease)
 	}
--- a/internal/service/frontoperator/handlers.go
+++ b/internal/service/frontoperator/handlers.go
@@ -82,7 +82,7 @@
 }
 
 func (s *Service) getHistory(w http.ResponseWriter, r *http.Request) {
-	s.show(w, r, func(p picture) any { return p.history() })
+	s.show(w, r, func(p picture) any { return s.history(r.Context(), p, maxPages) })
 }
 
 func (s *Service) getMetrics(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/service/frontoperator/history.go
@@ -0,0 +1,47 @@
+package frontoperator
+
+import (
+	"context"
+	"slices"
+
+	"briaryard/internal/decide/state"
+	"briaryard/internal/model"
+	"briaryard/internal/operator"
+	"briaryard/internal/port"
+)
+
+// maxPages bounds the reads of one answer. The control group keeps 10,000 changes.
+const maxPages = 100
+
+// history reads the accepted changes from the control group, the newest ones in at most the
+// given number of pages. It falls back on what this instance has seen since its start.
+func (s *Service) history(ctx context.Context, p picture, pages int) operator.History {
+	var (
+		changes []state.AcceptedConfig
+		before  model.Revision
+	)
+	for range pages {
+		r, f := s.command(ctx, "the history", func(reply func(port.ControlReply)) error {
+			return s.control.Do(state.ListChanges{Before: before}, reply)
+		})
+		if f != nil {
+			return historyOf(p.seen, false)
+		}
+		changes = append(slices.Clone(r.Changes), changes...)
+		if !r.Older || len(r.Changes) == 0 {
+			return historyOf(changes, true)
+		}
+		before = changes[0].Revision
+	}
+	return historyOf(changes, true)
+}
+
+func historyOf(changes []state.AcceptedConfig, complete bool) operator.History {
+	h := operator.History{Complete: complete, Changes: []operator.Change{}}
+	for _, c := range changes {
+		h.Changes = append(h.Changes, operator.Change{
+			Revision: uint64(c.Revision), ChangeID: c.ChangeID, Operator: c.Operator, At: c.At,
+		})
+	}
+	return h
+}
--- a/internal/service/frontoperator/message.go
+++ b/internal/service/frontoperator/message.go
@@ -61,20 +61,6 @@
 	return out
 }
 
-func (p picture) history() operator.History {
-	h := operator.History{Complete: len(p.status.History) > 0, Changes: []operator.Change{}}
-	changes := p.status.History
-	if !h.Complete {
-		changes = p.seen
-	}
-	for _, c := range changes {
-		h.Changes = append(h.Changes, operator.Change{
-			Revision: uint64(c.Revision), ChangeID: c.ChangeID, Operator: c.Operator, At: c.At,
-		})
-	}
-	return h
-}
-
 func (p picture) exceptions(now time.Time) []operator.Exception {
 	out := []operator.Exception{}
 	for i := range p.config.Exceptions {
--- a/internal/service/frontoperator/page.go
+++ b/internal/service/frontoperator/page.go
@@ -30,5 +30,5 @@
 		operator.Status
 		History operator.History
 		Now     time.Time
-	}{s.status(p), p.history(), time.Now().UTC()})
+	}{s.status(p), s.history(r.Context(), p, 1), time.Now().UTC()})
 }
--- a/internal/wire/controlwire/codec.go
+++ b/internal/wire/controlwire/codec.go
@@ -128,7 +128,11 @@
 }
 
 func resultToPB(r state.Result) (*controlpb.Result, error) {
-	m := &controlpb.Result{Index: r.Index, Claim: uint32(r.Claim), Answer: answerToPB(r.Answer), Revision: uint64(r.Revision)}
+	m := &controlpb.Result{Index: r.Index, Claim: uint32(r.Claim), Answer: answerToPB(r.Answer),
+		Revision: uint64(r.Revision), Older: r.Older}
+	for _, change := range r.Changes {
+		m.Changes = append(m.Changes, configToPB(change))
+	}
 	if r.Lease != (state.Lease{}) {
 		m.Lease = leaseToPB(r.Lease)
 	}
@@ -166,8 +170,16 @@
 }
 
 func (c *checker) result(m *controlpb.Result) state.Result {
-	return state.Result{Index: m.GetIndex(), Claim: c.claimStatus(m.GetClaim()), Answer: c.answer(m.GetAnswer()),
-		Lease: c.lease(m.GetLease()), Revision: model.Revision(m.GetRevision()), Err: c.fault(m.GetFault())}
+	r := state.Result{Index: m.GetIndex(), Claim: c.claimStatus(m.GetClaim()), Answer: c.answer(m.GetAnswer()),
+		Lease: c.lease(m.GetLease()), Revision: model.Revision(m.GetRevision()), Older: m.GetOlder(), Err: c.fault(m.GetFault())}
+	if len(m.GetChanges()) > state.ChangesPerPage {
+		c.fail("too many changes")
+		return r
+	}
+	for _, change := range m.GetChanges() {
+		r.Changes = append(r.Changes, c.config(change))
+	}
+	return r
 }
 
 func (c *checker) fault(m *controlpb.Fault) fault.Fault {
--- a/internal/wire/controlwire/command.go
+++ b/internal/wire/controlwire/command.go
@@ -75,6 +75,9 @@
 		return &controlpb.Command{Command: &controlpb.Command_ChangeVoters{ChangeVoters: &controlpb.ChangeVoters{
 			Instance: string(c.Instance), Remove: c.Remove}}}, nil
 	}
+	if c, ok := c.(state.ListChanges); ok {
+		return &controlpb.Command{Command: &controlpb.Command_ListChanges{ListChanges: &controlpb.ListChanges{Before: uint64(c.Before)}}}, nil
+	}
 	return nil, &EncodeError{Value: c, Reason: "unknown command"}
 }
 
@@ -113,6 +116,9 @@
 	if v := m.GetChangeVoters(); v != nil {
 		return state.ChangeVoters{Instance: c.instance(v.GetInstance()), Remove: v.GetRemove()}
 	}
+	if v := m.GetListChanges(); v != nil {
+		return state.ListChanges{Before: model.Revision(v.GetBefore())}
+	}
 	c.fail("unknown command")
 	return nil
 }
--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -40,6 +40,7 @@
 		state.AcquireLease{Name: "dispatcher/chat", Holder: "i1", Incarnation: 7, After: 3},
 		state.ReleaseLease{Name: "dispatcher/chat", Epoch: 4},
 		state.ChangeVoters{Instance: "i4", Remove: true},
+		state.ListChanges{Before: 7},
 	}
 }
 
@@ -53,6 +54,8 @@
 			Voters: []model.InstanceID{"i1", "i2"}, Confirmed: []port.Confirmation{{Instance: "i1", Revision: 2, Stopping: true}}},
 		port.CommandReply{ID: 3, NotLeader: true, Leader: "i2"},
 		port.CommandReply{ID: 3, Result: state.Result{Index: 5, Claim: state.ClaimFinished, Answer: answer, Lease: lease, Revision: 2}},
+		port.CommandReply{ID: 3, Result: state.Result{Index: 5, Older: true, Changes: []state.AcceptedConfig{
+			{Revision: 1, ChangeID: "c1", Operator: "ana", At: time.Unix(5, 6).UTC()}, {Revision: 2, ChangeID: "c2"}}}},
 	}
 	for _, f := range []fault.Fault{
 		&fault.ClaimsFull{Limit: 10}, &fault.ChangeReused{ChangeID: "c1"}, &fault.ControlUnavailable{Operation: "Claim"},
