Refuse the removal of a voter that would leave no working quorum

Cause: the leader removed any voter but the last. With one of three voters down, the removal of a running one left a group of two with one silent voter, which can decide nothing, not even the removal of that voter.

Change: before a removal the leader counts the voters that would remain and have acknowledged a heartbeat sent after the request; without a quorum of them within 1.5 s it answers QuorumLost (voter-quorum-lost, 409), which names the silent voters. Node.RemoveVoter itself refuses too, with the answers of the last election timeout. A silent voter can still be removed, and a learner always.

Result: the new test refuses the removal of a follower and of the leader beside a cut voter, then removes the cut voter. With reachability judged by the last 500 ms only, the same test lost the quorum, because the voter that had just been cut still counted.

--- a/internal/decide/consensus/change.go
+++ b/internal/decide/consensus/change.go
@@ -110,14 +110,48 @@
 	return Member{}, false
 }
 
+// Quorum is what is left of the voters without one of them.
+type Quorum struct {
+	// Needed is the number of voters that must answer, Reachable the number that do.
+	Needed, Reachable int
+	// Silent lists the voters that do not answer.
+	Silent []Member
+}
+
+// Works reports whether the voters that are left can commit.
+func (q Quorum) Works() bool { return q.Reachable >= q.Needed }
+
+// QuorumWithout returns what is left of the voters without a member. A voter counts as reachable
+// if it has acknowledged a heartbeat that was sent at since or later. The result has a meaning at
+// a leader only.
+func (n *Node) QuorumWithout(m Member, since time.Time) Quorum {
+	var q Quorum
+	voters := 0
+	for _, v := range n.log.members().Voters() {
+		if v == m {
+			continue
+		}
+		voters++
+		if p := n.lead.progress[v]; v == n.set.Self || p != nil && !p.beat.Before(since) {
+			q.Reachable++
+		} else {
+			q.Silent = append(q.Silent, v)
+		}
+	}
+	q.Needed = voters/2 + 1
+	return q
+}
+
 // RemoveVoter removes a member from the group. It reports false unless the node leads, the
-// member is known and not the last voter, and no other change is in progress.
+// member is known and not the last voter, no other change is in progress, and the voters that
+// are left have a quorum of those that answered within the shortest election timeout. A learner
+// has no part in a quorum.
 func (n *Node) RemoveVoter(now time.Time, m Member) bool {
 	members := n.log.members()
 	if _, ok := members.Find(m); !ok || !n.canChange() {
 		return false
 	}
-	if members.IsVoter(m) && len(members.Voters()) == 1 {
+	if members.IsVoter(m) && (len(members.Voters()) == 1 || !n.QuorumWithout(m, now.Add(-MinElection)).Works()) {
 		return false
 	}
 	members = members.clone()
--- a/internal/fault/control.go
+++ b/internal/fault/control.go
@@ -17,6 +17,7 @@
 	CodeVoterFailed        = register("voter-failed", "Voter cannot make its log durable", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
 	CodeChangeReused       = register("change-id-reused", "Change id was used for another content", http.StatusConflict, model.NotRun, ExitConflict)
 	CodeLastVoter          = register("last-voter", "Last voter cannot be removed", http.StatusConflict, model.NotRun, ExitConflict)
+	CodeQuorumLost         = register("voter-quorum-lost", "Voters that remain could not decide anything", http.StatusConflict, model.NotRun, ExitConflict)
 	CodeVoterChange        = register("voter-change-in-progress", "Another change of the voters is in progress", http.StatusConflict, model.NotRun, ExitConflict)
 	CodeUnknownVoter       = register("unknown-voter", "Instance is not known to the control group", http.StatusNotFound, model.NotRun, ExitConflict)
 )
@@ -114,6 +115,22 @@
 	return fmt.Sprintf("instance %q is the last voter of the control group", e.Instance)
 }
 
+// QuorumLost reports a removal that was refused because the voters that remain have no quorum
+// of reachable ones.
+type QuorumLost struct {
+	Instance model.InstanceID
+	// Needed of the voters that remain would have to answer; Reachable do, Silent do not.
+	Needed, Reachable int
+	Silent            []model.InstanceID
+}
+
+// Code implements Fault.
+func (e *QuorumLost) Code() Code { return CodeQuorumLost }
+func (e *QuorumLost) Error() string {
+	return fmt.Sprintf("without voter %q, %d voters would have to answer and only %d do; no answer from %q",
+		e.Instance, e.Needed, e.Reachable, e.Silent)
+}
+
 // VoterChangeInProgress reports a change of voters while an earlier one is not committed.
 type VoterChangeInProgress struct{ Instance model.InstanceID }
 
--- a/internal/service/control/voters.go
+++ b/internal/service/control/voters.go
@@ -13,6 +13,11 @@
 	// joinWithin covers the interval in which instances ask to join (1 s) and stays below the
 	// client's time limit for a command (2 s).
 	joinWithin = 1500 * time.Millisecond
+	// quorumWithin is how long a removal waits for the voters that would be left to acknowledge a
+	// heartbeat sent after the request, so that a voter which has just died does not count and one
+	// lost message refuses nothing. It covers several heartbeats (100 ms) and stays below the
+	// client's time limit.
+	quorumWithin = 1500 * time.Millisecond
 	// keptChanges is the number of answers kept for requests that are sent again.
 	keptChanges = 64
 )
@@ -100,14 +105,32 @@
 			s.endVoterChange(state.Result{Index: c.index})
 		}
 	case c.Remove:
-		// An instance whose folder was replaced has a voter and a learner, which go one by one.
-		s.node.RemoveVoter(now, records[0].Member)
+		s.removeRecord(now, c, records[0])
 	case now.Sub(c.at) >= joinWithin:
 		s.node.Revoke(c.Instance)
 		s.endVoterChange(state.Result{Err: &fault.UnknownVoter{Instance: c.Instance}})
 	}
 }
 
+// removeRecord proposes the removal of one record of the instance; one whose folder was replaced
+// has a voter and a learner, which go one by one. It refuses a removal after which the voters that
+// answer could commit nothing.
+func (s *Service) removeRecord(now time.Time, c *voterChange, r consensus.MemberRecord) {
+	q := s.node.QuorumWithout(r.Member, c.at)
+	if r.Learner || q.Works() {
+		s.node.RemoveVoter(now, r.Member)
+		return
+	}
+	if now.Sub(c.at) < quorumWithin {
+		return
+	}
+	f := &fault.QuorumLost{Instance: c.Instance, Needed: q.Needed, Reachable: q.Reachable}
+	for _, m := range q.Silent {
+		f.Silent = append(f.Silent, m.Instance)
+	}
+	s.endVoterChange(state.Result{Err: f})
+}
+
 func (s *Service) endVoterChange(result state.Result) {
 	c := s.changing
 	s.changing = nil
--- a/internal/service/control/voters_test.go
+++ b/internal/service/control/voters_test.go
@@ -167,3 +167,47 @@
 		})
 	}
 }
+
+// Guards against a removal after which the voters that remain cannot commit anything, the removal
+// of an absent one included, and against a refusal that lasts longer than its reason.
+func TestRemovalThatLosesTheQuorumIsRefused(t *testing.T) {
+	g := newGroup(t, 3)
+	g.startAll()
+	c := g.client()
+	c.do(claim(1))
+	var silent, other model.InstanceID
+	g.eventually("a leader with two followers", func() bool {
+		l := g.leader()
+		if l == nil {
+			return false
+		}
+		rest := slices.DeleteFunc(slices.Clone(g.initial), func(id model.InstanceID) bool { return id == l.id })
+		silent, other = rest[0], rest[1]
+		return true
+	})
+	g.hub.setCut(silent, true)
+	leader := g.leader().id
+	for _, id := range []model.InstanceID{other, leader} {
+		g.eventually("the removal is refused", func() bool {
+			err := c.change(remove(id))
+			var lost *fault.QuorumLost
+			if err == nil || asFault(err, &lost) && !reflect.DeepEqual(lost, &fault.QuorumLost{Instance: id, Needed: 2, Reachable: 1, Silent: []model.InstanceID{silent}}) {
+				t.Fatalf("removal of %s: %v", id, err)
+			}
+			return lost != nil
+		})
+	}
+	if r := c.do(claim(2)); r.Claim != state.ClaimWon {
+		t.Fatalf("the group that refused the removals: %+v", r)
+	}
+	// The silent voter itself can go, since the two others answer.
+	if err := c.change(remove(silent)); err != nil {
+		t.Fatalf("removal of the silent voter: %v", err)
+	}
+	if err := c.change(remove(other)); err != nil {
+		t.Fatalf("removal with a working quorum: %v", err)
+	}
+	if r := c.do(claim(3)); r.Claim != state.ClaimWon {
+		t.Fatalf("the voter that remains: %+v", r)
+	}
+}
--- a/internal/wire/controlwire/codec.go
+++ b/internal/wire/controlwire/codec.go
@@ -165,6 +165,12 @@
 		return &controlpb.Fault{Fault: &controlpb.Fault_VoterChangeInProgress{VoterChangeInProgress: &controlpb.Voter{Instance: string(f.Instance)}}}, nil
 	case *fault.UnknownVoter:
 		return &controlpb.Fault{Fault: &controlpb.Fault_UnknownVoter{UnknownVoter: &controlpb.Voter{Instance: string(f.Instance)}}}, nil
+	case *fault.QuorumLost:
+		m := &controlpb.QuorumLost{Instance: string(f.Instance), Needed: int64(f.Needed), Reachable: int64(f.Reachable)}
+		for _, id := range f.Silent {
+			m.Silent = append(m.Silent, string(id))
+		}
+		return &controlpb.Fault{Fault: &controlpb.Fault_QuorumLost{QuorumLost: m}}, nil
 	}
 	return nil, &EncodeError{Value: f, Reason: "unknown fault"}
 }
@@ -204,11 +210,25 @@
 		return &fault.VoterChangeInProgress{Instance: c.instance(f.VoterChangeInProgress.GetInstance())}
 	case *controlpb.Fault_UnknownVoter:
 		return &fault.UnknownVoter{Instance: c.instance(f.UnknownVoter.GetInstance())}
+	case *controlpb.Fault_QuorumLost:
+		return c.quorumLost(f.QuorumLost)
 	}
 	c.fail("unknown fault")
 	return nil
 }
 
+func (c *checker) quorumLost(m *controlpb.QuorumLost) fault.Fault {
+	f := &fault.QuorumLost{Instance: c.instance(m.GetInstance()), Needed: c.number(m.GetNeeded()), Reachable: c.number(m.GetReachable())}
+	if len(m.GetSilent()) > maxInstances {
+		c.fail("too many instances")
+		return f
+	}
+	for _, id := range m.GetSilent() {
+		f.Silent = append(f.Silent, c.instance(id))
+	}
+	return f
+}
+
 func (c *checker) conflict(m *controlpb.ConfigConflict) fault.ConfigConflict {
 	return fault.ConfigConflict{Number: model.Revision(m.GetNumber()), Current: model.Revision(m.GetCurrent()),
 		WinnerChange: c.text(m.GetWinnerChange()), WinnerOperator: c.text(m.GetWinnerOperator())}
--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -60,6 +60,7 @@
 	for _, f := range []fault.Fault{
 		&fault.ClaimsFull{Limit: 10}, &fault.ChangeReused{ChangeID: "c1"}, &fault.ControlUnavailable{Operation: "Claim"},
 		&fault.LastVoter{Instance: "i1"}, &fault.VoterChangeInProgress{Instance: "i1"}, &fault.UnknownVoter{Instance: "i1"},
+		&fault.QuorumLost{Instance: "i1", Needed: 2, Reachable: 1, Silent: []model.InstanceID{"i2"}},
 		&fault.ConfigConflict{Number: 2, Current: 3, WinnerChange: "c2", WinnerOperator: "luz"},
 	} {
 		all = append(all, port.CommandReply{ID: 4, Result: state.Result{Err: f}})
