Change the fleet token without stopping the fleet

Cause: an instance had one fleet token, fixed at its start, so that a change needed all instances stopped.

A file that cannot be used is reported by trust.not_reloaded, and the tokens read before stay in use.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -73,10 +73,10 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.Supply(i.log, &i.settings, initial),
-		fx.Provide(metric.NewSet, settings.security, settings.outgoing, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
+		fx.Provide(metric.NewSet, settings.security, settings.outgoing, settings.fleet, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
 		fx.Provide(
-			service(func(l *event.Log, c trust.Configs) *peers.Service {
-				return peers.New(l, settings.peers(i.incarnation, c))
+			service(func(l *event.Log, c trust.Configs, t *trust.FleetTokens) *peers.Service {
+				return peers.New(l, settings.peers(i.incarnation, c, t))
 			}),
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(i.newControlClient),
--- a/internal/app/security.go
+++ b/internal/app/security.go
@@ -28,6 +28,11 @@
 	return c, t, err
 }
 
+// fleet returns the tokens that the instances show each other.
+func (s *Settings) fleet(l *event.Log) (*trust.FleetTokens, error) {
+	return trust.LoadFleetTokens(s.FleetFile, s.FleetToken, reportTo(l))
+}
+
 // outgoing returns what calls to backend servers carry.
 func (s *Settings) outgoing(l *event.Log) (*trust.Outgoing, error) {
 	return trust.LoadOutgoing(s.outgoingFiles(reportTo(l)))
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -28,6 +28,7 @@
 	PeerAddress   string        `help:"Address (host:port) where other instances connect; empty for a fleet of one." env:"BRIARYARD_PEER_ADDRESS"`
 	Peers         []string      `help:"Addresses (host:port) of a few other instances." env:"BRIARYARD_PEERS"`
 	FleetToken    string        `help:"Token that the instances of the fleet share." env:"BRIARYARD_FLEET_TOKEN"`
+	FleetFile     string        `name:"fleet-token-file" help:"File with the tokens of the fleet, one a line: the first is sent, all are accepted. It takes the place of --fleet-token and is read again when it changes." env:"BRIARYARD_FLEET_TOKEN_FILE"`
 	AdvPeer       string        `name:"advertise-peer-address" help:"Peer address as others reach it, if it differs." env:"BRIARYARD_ADVERTISE_PEER_ADDRESS"`
 	AdvCaller     string        `name:"advertise-caller-address" help:"Caller address as callers reach it, if it differs." env:"BRIARYARD_ADVERTISE_CALLER_ADDRESS"`
 	AdvServer     string        `name:"advertise-server-address" help:"Server address as backend servers reach it, if it differs." env:"BRIARYARD_ADVERTISE_SERVER_ADDRESS"`
@@ -97,8 +98,8 @@
 		bad("--peer-address", "is needed with --peers")
 	}
 	host, _, err := net.SplitHostPort(s.PeerAddress)
-	if err == nil && s.FleetToken == "" && !isLoopback(host) {
-		bad("--fleet-token", "is needed unless the peer address is a loopback address")
+	if err == nil && s.FleetToken+s.FleetFile == "" && !isLoopback(host) {
+		bad("--fleet-token-file", "or --fleet-token is needed unless the peer address is a loopback address")
 	}
 }
 
@@ -118,6 +119,9 @@
 			bad("--tls-cert", err.Error())
 		}
 	}
+	if _, err := trust.LoadFleetTokens(s.FleetFile, s.FleetToken, nil); err != nil {
+		bad("--fleet-token-file", err.Error())
+	}
 	if _, err := trust.LoadTokens(s.TokensFile, s.Tokens, nil); err != nil {
 		bad("--tokens", err.Error())
 	}
@@ -165,9 +169,9 @@
 	}
 }
 
-func (s *Settings) peers(incarnation model.Incarnation, c trust.Configs) peers.Options {
+func (s *Settings) peers(incarnation model.Incarnation, c trust.Configs, fleet *trust.FleetTokens) peers.Options {
 	return peers.Options{
-		Self: s.instance(incarnation), Listen: s.PeerAddress, Peers: s.Peers, Token: s.FleetToken,
+		Self: s.instance(incarnation), Listen: s.PeerAddress, Peers: s.Peers, Tokens: fleet.Tokens,
 		Codecs:    map[string]port.Codec{port.ControlName: control.NewCodec()},
 		ServerTLS: c.PeerServer, ClientTLS: c.PeerClient,
 	}
--- a/internal/service/peers/handshake.go
+++ b/internal/service/peers/handshake.go
@@ -21,17 +21,35 @@
 func (s *Service) hello() *peerpb.Hello {
 	i := s.options.Self
 	return &peerpb.Hello{
-		Version: protocolVersion, Token: s.options.Token, Instance: string(i.ID), Incarnation: s.incarnation.Load(),
+		Version: protocolVersion, Token: s.tokens()[0], Instance: string(i.ID), Incarnation: s.incarnation.Load(),
 		FailureDomain: string(i.Domain), PeerAddress: i.PeerAddress, CallerAddress: i.CallerAddress,
 		ServerAddress: i.ServerAddress, OperatorAddress: i.OperatorAddress, Voter: i.Voter,
 	}
 }
 
+// tokens returns the tokens of the fleet. The first is sent, all are accepted.
+func (s *Service) tokens() []string {
+	if s.options.Tokens != nil {
+		return s.options.Tokens()
+	}
+	return []string{s.options.Token}
+}
+
+// accepts compares a token with each of the fleet's, so that the time does not depend on which
+// one it is.
+func (s *Service) accepts(token string) bool {
+	got, equal := sha256.Sum256([]byte(token)), 0
+	for _, t := range s.tokens() {
+		want := sha256.Sum256([]byte(t))
+		equal |= subtle.ConstantTimeCompare(want[:], got[:])
+	}
+	return equal == 1
+}
+
 // check examines the hello of another instance.
 func (s *Service) check(h *peerpb.Hello) (model.Instance, fault.RefusalReason) {
-	want, got := sha256.Sum256([]byte(s.options.Token)), sha256.Sum256([]byte(h.GetToken()))
 	switch {
-	case subtle.ConstantTimeCompare(want[:], got[:]) != 1:
+	case !s.accepts(h.GetToken()):
 		return model.Instance{}, fault.RefusedToken
 	case h.GetVersion() != protocolVersion:
 		return model.Instance{}, fault.RefusedVersion
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -32,8 +32,10 @@
 	Listener net.Listener
 	// Peers are the addresses of a few other instances.
 	Peers []string
-	// Token is shared by the fleet.
-	Token string
+	// Token is shared by the fleet. Tokens, if set, is used instead and returns at least one
+	// token: the first is sent, all are accepted.
+	Token  string
+	Tokens func() []string
 	// Codecs encode messages to services that may not run at this instance, by name.
 	Codecs map[string]port.Codec
 	// ServerTLS and ClientTLS protect the connections; nil for plain connections.
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -183,3 +184,35 @@
 		t.Fatalf("a server of another authority: %v", err)
 	}
 }
+
+// Guards against a file of fleet tokens in the middle of a change that leaves an instance without
+// a token, and against an empty one that would let everyone in.
+func TestFleetTokensFollowTheirFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fleet")
+	put := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, text := range []string{"", "# none\n\n", "two tokens\n"} {
+		put(text)
+		if _, err := trust.LoadFleetTokens(path, "", nil); err == nil {
+			t.Errorf("a file with %q was accepted", text)
+		}
+	}
+	put("old\n")
+	var reasons []string
+	tokens, err := trust.LoadFleetTokens(path, "unused", func(_ string, err error) { reasons = append(reasons, err.Error()) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	have := func(want ...string) func() bool { return func() bool { return slices.Equal(tokens.Tokens(), want) } }
+	eventually(t, "the first token was not read", have("old"))
+	put("# changed in May\n\nold\nnew\n")
+	eventually(t, "the second token was not read", have("old", "new"))
+	put("")
+	eventually(t, "the empty file was not reported", func() bool { tokens.Tokens(); return len(reasons) > 0 })
+	if !have("old", "new")() {
+		t.Fatalf("tokens after an empty file: %d", len(tokens.Tokens()))
+	}
+}
