Report failed TLS handshakes and HTTP server errors as events

Cause: errors of the HTTP servers went to standard error, outside the numbered events, and a failed handshake at the peer address left no trace.

Change: http.error (107) carries what the HTTP server of a listener reports, and peer.handshake_failed (4019) the failed handshakes of the peer address, which now run before the connection is used. Both are bounded to 10 a minute for each listener, and the next event says how many were left out, so that a stranger cannot fill the log or push other events out of it. The logger for the HTTP server is made in internal/event, so that the scan for other log calls holds.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,7 +8,6 @@
 	"go.uber.org/fx"
 
 	"briaryard/internal/event"
-	"briaryard/internal/httpserve"
 	"briaryard/internal/kernel"
 	"briaryard/internal/metric"
 	"briaryard/internal/model"
@@ -105,13 +104,13 @@
 		Address: i.settings.CallerAddress, MaxBody: i.settings.MaxBodyBytes,
 		AddressTTL: int(i.settings.AddressTTL.Seconds()), Domain: model.FailureDomain(i.settings.FailureDomain),
 	})
-	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleTeam)})
+	s.Secure(listener(l, s, c, t, trust.RoleTeam))
 	return s
 }
 
 func (i *Instance) newAnnounce(l *event.Log, c trust.Configs, t *trust.TokenSource) *frontannounce.Service {
 	s := frontannounce.New(l, i.settings.ServerAddress)
-	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleServer)})
+	s.Secure(listener(l, s, c, t, trust.RoleServer))
 	return s
 }
 
@@ -120,7 +119,7 @@
 		Address: i.settings.OperAddress, Instance: model.InstanceID(i.settings.ID), Incarnation: i.incarnation,
 		Domain: model.FailureDomain(i.settings.FailureDomain), Health: i.kernel.Health, Drain: i.drain,
 	})
-	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleOperator)})
+	s.Secure(listener(l, s, c, t, trust.RoleOperator))
 	return s
 }
 
--- a/internal/app/secured_test.go
+++ b/internal/app/secured_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/gomega"
 
 	"briaryard/internal/app"
+	"briaryard/internal/event"
 	"briaryard/internal/model"
 	"briaryard/internal/operator"
 	"briaryard/internal/service/frontannounce"
@@ -54,6 +55,8 @@
 	files trust.Files
 	log   lockedBuffer
 	fleet []*app.Instance
+	// peer is the peer address of the first instance.
+	peer string
 }
 
 func (s *securedFleet) put(name, text string) string {
@@ -73,6 +76,7 @@
 	s.put("accepted", acceptedTokens(1))
 	s.put("call", "call-secret-1")
 	addresses := freeAddresses(3)
+	s.peer = addresses[0]
 	for k, address := range addresses {
 		settings := app.Settings{
 			ID: fmt.Sprintf("i%d", k+1), FailureDomain: "d1", CallerAddress: "127.0.0.1:0", ServerAddress: "127.0.0.1:0",
@@ -167,6 +171,18 @@
 		for _, address := range []string{s.fleet[0].CallerAddress(), s.fleet[0].ServerAddress(), s.fleet[0].OperatorAddress()} {
 			Expect(plainStatus(address)).NotTo(Equal(200))
 		}
+
+		By("reporting failed handshakes as events, at a bounded rate")
+		for range 30 {
+			Expect(plainStatus(s.peer)).To(Equal(0))
+			Expect(plainStatus(s.fleet[0].CallerAddress())).NotTo(Equal(200))
+		}
+		for event, text := range map[string]string{"http.error": "front.caller", "peer.handshake_failed": "tls:"} {
+			Eventually(func() int { return len(s.fleet[0].Log().Recent(named(event, text))) }, 30).Should(BeNumerically(">", 0))
+			Consistently(func() int { return len(s.fleet[0].Log().Recent(named(event, ""))) }, 1).Should(BeNumerically("<=", 30))
+		}
+		Expect(len(s.fleet[0].Log().Recent(named("peer.handshake_failed", "")))).To(BeNumerically("<=", 20))
+
 		outgoing, err := trust.LoadOutgoing(trust.OutgoingFiles{Authority: s.files.Authority, Token: "operator-secret-1"})
 		Expect(err).NotTo(HaveOccurred())
 		var seen operator.Status
@@ -188,6 +204,11 @@
 	})
 })
 
+// named matches the events of a name that hold a text.
+func named(name, text string) func(event.Record) bool {
+	return func(r event.Record) bool { return r.Event == name && strings.Contains(fmt.Sprint(r.Fields), text) }
+}
+
 // plainStatus sends a plain request and returns the status of the answer, or zero.
 func plainStatus(address string) int {
 	c, err := net.DialTimeout("tcp", address, 2*time.Second)
--- a/internal/app/security.go
+++ b/internal/app/security.go
@@ -2,6 +2,8 @@
 
 import (
 	"briaryard/internal/event"
+	"briaryard/internal/httpserve"
+	"briaryard/internal/kernel"
 	"briaryard/internal/trust"
 )
 
@@ -33,6 +35,11 @@
 	return trust.LoadFleetTokens(s.FleetFile, s.FleetToken, reportTo(l))
 }
 
+// listener returns what the HTTP listener of a service checks for a role, and where its errors go.
+func listener(l *event.Log, s kernel.Service, c trust.Configs, t *trust.TokenSource, role string) httpserve.Security {
+	return httpserve.Security{TLS: c.Listener, Guard: t.Guard(role), Errors: l.Limit(event.HTTPError).Logger(s.Name())}
+}
+
 // outgoing returns what calls to backend servers carry.
 func (s *Settings) outgoing(l *event.Log) (*trust.Outgoing, error) {
 	return trust.LoadOutgoing(s.outgoingFiles(reportTo(l)))
--- a/internal/event/membership.go
+++ b/internal/event/membership.go
@@ -24,6 +24,9 @@
 		"Nothing expires for a while because this instance itself was paused or cut off.", "reason")
 	IncarnationRaised = define(4017, slog.LevelWarn, "instance.incarnation_raised",
 		"The fleet knew a higher incarnation of this instance, so it took one above it.", "instance", "incarnation")
+	PeerHandshakeFailed = define(4019, slog.LevelWarn, "peer.handshake_failed",
+		"The TLS handshake of a connection to the peer address failed; at most 10 a minute.",
+		"address", "error", "left_out")
 	IncarnationUsed = define(4018, slog.LevelError, "instance.incarnation_used",
 		"The fleet knows a later run of this instance; this process must be restarted or renamed.", "instance", "known")
 )
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -16,4 +16,7 @@
 		"A service opened a port.", "service", "address", "tls")
 	RingRefused = define(106, slog.LevelWarn, "ring.refused",
 		"A message was dropped because the receiver's ring was full.", "ring", "message")
+	HTTPError = define(107, slog.LevelWarn, "http.error",
+		"The HTTP server of a listener reported an error, most often a failed TLS handshake; at most 10 a minute for each listener.",
+		"service", "error", "left_out")
 )
--- a/internal/httpserve/server.go
+++ b/internal/httpserve/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"briaryard/internal/event"
 	"briaryard/internal/fault"
 )
 
@@ -29,6 +30,9 @@
 	TLS *tls.Config
 	// Guard examines requests before the handler.
 	Guard func(http.Handler) http.Handler
+	// Errors receives what the HTTP server reports, such as failed TLS handshakes; with nil it
+	// goes to standard error.
+	Errors *event.LibraryLogger
 }
 
 // Listen opens the address and serves the handler.
@@ -45,8 +49,10 @@
 	}
 	s := &Server{
 		listener: l,
-		http:     &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout},
-		done:     make(chan struct{}),
+		http: &http.Server{
+			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: security.Errors,
+		},
+		done: make(chan struct{}),
 	}
 	go func() {
 		defer close(s.done)
--- a/internal/service/peers/handshake.go
+++ b/internal/service/peers/handshake.go
@@ -121,6 +121,11 @@
 // accept performs the handshake on a transport that another instance has dialed. The
 // "peers" duty decides whether the connection is used.
 func (s *Service) accept(ctx context.Context, transport net.Conn) {
+	if err := secure(ctx, transport); err != nil {
+		s.failures.Emit(time.Now(), transport.RemoteAddr().String(), err.Error())
+		_ = transport.Close()
+		return
+	}
 	c, err := acceptConn(transport)
 	if err != nil {
 		_ = transport.Close()
@@ -147,6 +152,18 @@
 	}
 }
 
+// secure performs the TLS handshake of an accepted transport. It would otherwise run within the
+// first read, whose failure does not tell the reason.
+func secure(ctx context.Context, transport net.Conn) error {
+	secured, ok := transport.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	return secured.HandshakeContext(ctx)
+}
+
 // refuse tells the other side why and closes the connection once it has read the refusal.
 func (s *Service) refuse(c *conn, reason fault.RefusalReason, known model.Incarnation) {
 	if reason != fault.RefusedDuplicate {
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -52,6 +52,7 @@
 type Service struct {
 	options     Options
 	log         *event.Log
+	failures    *event.Limited
 	host        *kernel.Host
 	ring        *ring.Ring[message]
 	listener    net.Listener
@@ -71,7 +72,7 @@
 // New returns the service.
 func New(log *event.Log, o Options) *Service {
 	s := &Service{
-		options: o, log: log,
+		options: o, log: log, failures: log.Limit(event.PeerHandshakeFailed),
 		ring:     ring.New[message]("peers", ringCapacity, ring.Block),
 		handlers: make(map[string]handler),
 	}
