Answer readiness apart from health

Cause: the health endpoint answered 200 while the instance had withdrawn from the address list and refused every new request, and there was no other question to ask.

Change: GET /operator/v1/ready answers 200 while the address list names the instance, or 503 with a reason (starting, withdrawn, leaving, busy) and a detail.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return &fault.OperatorUnreachable{Address: address, Err: err}
 	}
-	if response.StatusCode >= http.StatusBadRequest && path != PathHealth {
+	if response.StatusCode >= http.StatusBadRequest && path != PathHealth && path != PathReady {
 		return problem(response.StatusCode, data)
 	}
 	if text, ok := into.(*string); ok {
--- a/internal/operator/message.go
+++ b/internal/operator/message.go
@@ -11,6 +11,7 @@
 // Paths of the endpoint.
 const (
 	PathHealth  = "/operator/v1/health"
+	PathReady   = "/operator/v1/ready"
 	PathStatus  = "/operator/v1/status"
 	PathDuties  = "/operator/v1/duties"
 	PathMembers = "/operator/v1/members"
@@ -25,11 +26,28 @@
 	PathText = "/metrics"
 )
 
-// Health is the answer of PathHealth: status 200, or 503 if a service is unhealthy.
+// Health is the answer of PathHealth: status 200, or 503 if a service is unhealthy. An instance
+// that takes no new requests can be healthy; PathReady tells that.
 type Health struct {
 	Unhealthy map[string]string `json:"unhealthy"`
 }
 
+// Reasons why an instance is not ready.
+const (
+	ReasonStarting  = "starting"
+	ReasonWithdrawn = "withdrawn"
+	ReasonLeaving   = "leaving"
+	ReasonBusy      = "busy"
+)
+
+// Readiness is the answer of PathReady: status 200 if the instance takes new requests, or 503 with
+// the reason why it does not. It says nothing about the health of the process.
+type Readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+	Detail string `json:"detail,omitempty"`
+}
+
 // Duties is the answer of PathDuties.
 type Duties struct {
 	Duties []kernel.DutyInfo `json:"duties"`
--- a/internal/service/frontoperator/service.go
+++ b/internal/service/frontoperator/service.go
@@ -110,7 +110,7 @@
 func (s *Service) routes() http.Handler {
 	routes := mux.NewRouter()
 	for path, handle := range map[string]http.HandlerFunc{
-		operator.PathHealth: s.getHealth, operator.PathStatus: s.getStatus, operator.PathDuties: s.getDuties,
+		operator.PathHealth: s.getHealth, operator.PathReady: s.getReady, operator.PathStatus: s.getStatus, operator.PathDuties: s.getDuties,
 		operator.PathMembers: s.getMembers, operator.PathLeases: s.getLeases, operator.PathVoters: s.getVoters,
 		operator.PathConfig: s.getConfig, operator.PathHistory: s.getHistory, operator.PathExplain: s.getExplain,
 		operator.PathMetrics: s.getMetrics, operator.PathText: s.getText, "/": s.getPage,
