Let briaryard load use TLS and tokens

Cause: a fleet with TLS or tokens could not be loaded: the command had no flags for either, and the question for the list of addresses never carried a token.

Either each team of the mix has a token or none has; redirects are not followed. Tokens come from files only, because arguments can be read by others.

The secured fleet now has fixed caller addresses, since the list names them; with port 0 in the list every request of the run was lost.

--- a/cmd/briaryard/load.go
+++ b/cmd/briaryard/load.go
@@ -8,6 +8,7 @@
 
 	"briaryard/internal/fault"
 	"briaryard/internal/load"
+	"briaryard/internal/trust"
 )
 
 // loadCommand loads a fleet and judges its answers.
@@ -19,6 +20,10 @@
 	Duration   time.Duration `help:"Length of the run." default:"20s"`
 	Seed       uint64        `help:"Seed of the schedule." default:"1"`
 	Domain     string        `help:"Failure domain that the callers are in."`
+	CallerCA   string        `name:"caller-ca" help:"Certificate file (PEM) of the authority of the instances; with it requests use TLS."`
+	Tokens     string        `name:"caller-tokens-file" help:"File with the tokens of the teams, as the instances' own: team NAME TOKEN. The first of a team is sent."`
+	BackendCA  string        `name:"backend-ca" help:"Certificate file (PEM) of the authority of the stand-ins; with it questions for their executions use TLS."`
+	BackendTok string        `name:"backend-token-file" help:"File with the token of calls to the stand-ins."`
 }
 
 // Run implements the command.
@@ -29,9 +34,13 @@
 	if err != nil {
 		return err
 	}
-	report, err := load.Run(ctx, load.Options{
+	options := load.Options{
 		Addresses: c.Addresses, Executions: c.Executions, Mix: mix, Rate: c.Rate, Duration: c.Duration, Seed: c.Seed, Domain: c.Domain,
-	})
+	}
+	if err := c.secure(&options); err != nil {
+		return err
+	}
+	report, err := load.Run(ctx, options)
 	if err != nil {
 		return err
 	}
@@ -43,3 +52,18 @@
 	}
 	return nil
 }
+
+// secure reads the files that secure the calls. Tokens have no flags, because other users of the
+// machine can read the arguments of a command.
+func (c *loadCommand) secure(o *load.Options) (err error) {
+	if o.Callers, err = trust.LoadOutgoing(trust.OutgoingFiles{Authority: c.CallerCA}); err != nil {
+		return err
+	}
+	if o.Backends, err = trust.LoadOutgoing(trust.OutgoingFiles{Authority: c.BackendCA, TokenFile: c.BackendTok}); err != nil {
+		return err
+	}
+	if c.Tokens != "" {
+		o.Tokens, err = trust.TeamTokens(c.Tokens)
+	}
+	return err
+}
--- a/internal/app/secured_test.go
+++ b/internal/app/secured_test.go
@@ -75,11 +75,12 @@
 	s.files = trusttest.NewAuthority(GinkgoT()).Write(GinkgoT(), s.dir, 1)
 	s.put("accepted", acceptedTokens(1))
 	s.put("call", "call-secret-1")
-	addresses := freeAddresses(3)
+	// The callers' addresses are fixed, so that the list of addresses names them.
+	addresses, callers := freeAddresses(3), freeAddresses(3)
 	s.peer = addresses[0]
 	for k, address := range addresses {
 		settings := app.Settings{
-			ID: fmt.Sprintf("i%d", k+1), FailureDomain: "d1", CallerAddress: "127.0.0.1:0", ServerAddress: "127.0.0.1:0",
+			ID: fmt.Sprintf("i%d", k+1), FailureDomain: "d1", CallerAddress: callers[k], ServerAddress: "127.0.0.1:0",
 			OperAddress: "127.0.0.1:0", AddressTTL: time.Second, MaxBodyBytes: 1 << 20, ConfirmWithin: 5 * time.Second,
 			PeerAddress: address, Peers: addresses[:1], FleetToken: "fleet-secret",
 			TLSCert: s.files.Cert, TLSKey: s.files.Key, TLSCA: s.files.Authority, TokensFile: filepath.Join(s.dir, "accepted"),
@@ -96,8 +97,8 @@
 }
 
 // backend runs a stand-in with TLS that asks for the token in the file "served", and
-// announces it to an instance with the token in the file "announce".
-func (s *securedFleet) backend(home *app.Instance, h http.Handler, current func(string) frontannounce.Announcement) {
+// announces it to an instance with the token in the file "announce". It returns its address.
+func (s *securedFleet) backend(home *app.Instance, h http.Handler, current func(string) frontannounce.Announcement) string {
 	configs, err := trust.Load(s.files)
 	Expect(err).NotTo(HaveOccurred())
 	accepted, err := trust.LoadTokens(s.put("served", "backend-server call-secret-1"), "", nil)
@@ -115,6 +116,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	return address
 }
 
 func (s *securedFleet) client(token string) *http.Client {
--- a/internal/load/addresses.go
+++ b/internal/load/addresses.go
@@ -13,6 +13,8 @@
 	seeds  []string
 	domain string
 	client *http.Client
+	// token is sent with each question if there is one.
+	token string
 
 	mu        sync.Mutex
 	addresses []string
@@ -68,6 +70,9 @@
 	if err != nil {
 		return list, false
 	}
+	if b.token != "" {
+		r.Header.Set(tokenHeader, "Bearer "+b.token)
+	}
 	response, err := b.client.Do(r)
 	if err != nil {
 		return list, false
--- a/internal/load/judge.go
+++ b/internal/load/judge.go
@@ -156,7 +156,7 @@
 		if err != nil {
 			return sum, err
 		}
-		response, err := r.client.Do(request)
+		response, err := r.standins.Do(request)
 		if err != nil {
 			return sum, &fault.StandinUnreachable{Address: address, Err: err}
 		}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briaryard/internal/fault"
+	"briaryard/internal/trust"
 )
 
 // Options describe a run.
@@ -20,8 +21,10 @@
 	Seed     uint64
 	Rate     float64
 	Duration time.Duration
-	// Tokens are the teams' tokens, if the fleet asks for them.
-	Tokens map[string]string
+	// Tokens are the teams' tokens, if the fleet asks for them, and Callers secures the calls to
+	// the instances. Backends secures those to the stand-ins in Executions. Nil leaves them plain.
+	Tokens            map[string]string
+	Callers, Backends *trust.Outgoing
 	// Executions are the addresses of stand-in backend servers that report what they ran.
 	Executions []string
 	// MaxInFlight bounds the open requests.
@@ -45,9 +48,11 @@
 type runner struct {
 	options Options
 	client  *http.Client
-	book    *addressBook
-	judge   *judge
-	slots   chan struct{}
+	// standins calls the stand-ins for their counts.
+	standins *http.Client
+	book     *addressBook
+	judge    *judge
+	slots    chan struct{}
 }
 
 // Run carries out a run and judges it. It accepts loopback addresses only.
@@ -61,24 +66,48 @@
 	if o.MaxInFlight <= 0 {
 		o.MaxInFlight = maxInFlight
 	}
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 64,
-	}}
+	token, err := o.anyToken()
+	if err != nil {
+		return nil, err
+	}
+	client := newClient(o.Callers)
 	r := &runner{
-		options: o, client: client, judge: newJudge(),
-		book:  &addressBook{seeds: o.Addresses, domain: o.Domain, client: client},
+		options: o, client: client, standins: newClient(o.Backends), judge: newJudge(),
+		book:  &addressBook{seeds: o.Addresses, domain: o.Domain, client: client, token: token},
 		slots: make(chan struct{}, o.MaxInFlight),
 	}
 	r.generate(ctx)
 	client.CloseIdleConnections()
 	executions, err := r.executions(ctx)
+	r.standins.CloseIdleConnections()
 	if err != nil {
 		return nil, err
 	}
 	return r.judge.report(o, executions), nil
 }
 
+func newClient(outgoing *trust.Outgoing) *http.Client {
+	return &http.Client{CheckRedirect: trust.NoRedirects, Transport: outgoing.Transport(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 64,
+	})}
+}
+
+// anyToken returns the token for calls that belong to no team. Either each team of the mix has a
+// token or none has.
+func (o *Options) anyToken() (token string, err error) {
+	if len(o.Tokens) == 0 {
+		return "", nil
+	}
+	for i := range o.Mix.Classes {
+		team := o.Mix.Classes[i].Team
+		if token = o.Tokens[team]; token == "" {
+			return "", &fault.InvalidSetting{Setting: "--caller-tokens-file", Reason: "has no token of team " + team}
+		}
+	}
+	return token, nil
+}
+
 // generate sends every arrival at its time and waits for the last answer.
 func (r *runner) generate(ctx context.Context) {
 	var open sync.WaitGroup
