--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -23,7 +23,7 @@
 	ServerAddress string        `help:"Address (host:port) where backend servers announce themselves." env:"BRIARYARD_SERVER_ADDRESS" default:"127.0.0.1:8081"`
 	OperAddress   string        `name:"operator-address" help:"Address (host:port) where operators connect." env:"BRIARYARD_OPERATOR_ADDRESS" default:"127.0.0.1:8082"`
 	DataFolder    string        `help:"Folder for the durable state of a voter; empty on instances without a disk. It must belong to this instance alone." env:"BRIARYARD_DATA_FOLDER"`
-	Voters        []string      `help:"Names of the instances that form the control group at its first start, 3 or 5 of them; later starts use them to find the group." env:"BRIARYARD_VOTERS"`
+	Voters        []string      `help:"Names of the instances that form the control group at its first start; 3 survive the loss of one and 5 of two, and the number is not checked. Later starts use them to find the group." env:"BRIARYARD_VOTERS"`
 	ConfirmWithin time.Duration `help:"How long this instance takes new work without having its configuration confirmed (2s to 60s)." env:"BRIARYARD_CONFIRM_WITHIN" default:"5s"`
 	PeerAddress   string        `help:"Address (host:port) where other instances connect; empty for a fleet of one." env:"BRIARYARD_PEER_ADDRESS"`
 	Peers         []string      `help:"Addresses (host:port) of a few other instances." env:"BRIARYARD_PEERS"`
@@ -38,10 +38,10 @@
 	TLSCA         string        `name:"tls-ca" help:"Certificate file (PEM) of the authority that the instances share; read again when it changes." env:"BRIARYARD_TLS_CA"`
 	AllowPlain    bool          `help:"Accept plain connections on addresses other than loopback." env:"BRIARYARD_ALLOW_PLAIN"`
 	TokensFile    string        `help:"File with the tokens of teams, operators and backend servers; read again when it changes." env:"BRIARYARD_TOKENS_FILE"`
-	Tokens        string        `help:"The same as text." env:"BRIARYARD_TOKENS"`
+	Tokens        string        `help:"Lines of the same form as text; they count beside those of the file." env:"BRIARYARD_TOKENS"`
 	BackendCA     string        `name:"backend-ca" help:"Certificate file (PEM) of the authority of the backend servers; with it calls to them use TLS. Read again when it changes." env:"BRIARYARD_BACKEND_CA"`
 	BackendFile   string        `name:"backend-token-file" help:"File with the bearer token of calls to backend servers; read again when it changes." env:"BRIARYARD_BACKEND_TOKEN_FILE"`
-	BackendToken  string        `help:"The same as text." env:"BRIARYARD_BACKEND_TOKEN"`
+	BackendToken  string        `help:"The token as text; not used with --backend-token-file." env:"BRIARYARD_BACKEND_TOKEN"`
 	AddressTTL    time.Duration `name:"address-ttl" help:"How long callers may keep the list of addresses (1s to 5m). A stop waits this long." env:"BRIARYARD_ADDRESS_TTL" default:"5s"`
 	MaxBodyBytes  int64         `help:"Largest request body in bytes (1024 to 67108864)." env:"BRIARYARD_MAX_BODY_BYTES" default:"1048576"`
 	LogLevel      string        `help:"Lowest level of log events: debug, info, warn or error." env:"BRIARYARD_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
