--- a/internal/service/control/duty.go
+++ b/internal/service/control/duty.go
@@ -121,9 +121,10 @@
 	}
 }
 
-// isStored reports whether a batch may refer to a snapshot.
+// isStored reports whether a batch may refer to a snapshot. Files are written in the order of their
+// indexes, and a received snapshot is newer than every own one.
 func (s *Service) isStored(snapshot *consensus.Snapshot) bool {
-	return snapshot == nil || len(snapshot.Data) == 0 || snapshot.Index == s.storedFile
+	return snapshot == nil || len(snapshot.Data) == 0 || snapshot.Index <= s.storedFile
 }
 
 // applyAll applies committed entries, or keeps them until a snapshot is installed.
--- a/internal/service/control/stall_test.go
+++ b/internal/service/control/stall_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
+	"briaryard/internal/decide/consensus"
 	"briaryard/internal/decide/state"
 	"briaryard/internal/event"
+	"briaryard/internal/fault"
 	"briaryard/internal/kernel"
 	"briaryard/internal/model"
 	"briaryard/internal/service/control"
@@ -60,6 +65,21 @@
 	return f.File.Sync()
 }
 
+// fullFS has no room for snapshot files.
+type fullFS struct{ storage.OS }
+
+type fullFile struct{ storage.File }
+
+func (f fullFS) Create(name string) (storage.File, error) {
+	file, err := f.OS.Create(name)
+	if err == nil && strings.HasPrefix(filepath.Base(name), "snapshot-") {
+		return fullFile{file}, nil
+	}
+	return file, err
+}
+
+func (fullFile) Write([]byte) (int, error) { return 0, syscall.ENOSPC }
+
 // gatedCodecs holds back the decoding of snapshots.
 type gatedCodecs struct {
 	control.WireCodecs
@@ -163,3 +183,28 @@
 		}
 	}
 }
+
+// Guards against a voter that goes on without room for its snapshot, and against a log that is
+// replaced by a snapshot that could not be written.
+func TestFailedSnapshotFileStopsTheVoter(t *testing.T) {
+	g := newGroup(t, 1)
+	g.files["v0"] = fullFS{}
+	prepareFolder(t, filepath.Join(g.dir, "v0"), 10_100)
+	g.startAll()
+	bad := g.voters["v0"].service
+	g.eventually("the voter is unhealthy", func() bool {
+		var failed *fault.VoterFailed
+		return errors.As(bad.Health(), &failed) && errors.Is(failed, syscall.ENOSPC) && bad.Status().Role == consensus.Halted
+	})
+	g.stop("v0")
+	delete(g.files, "v0")
+	if err := g.start("v0"); err != nil {
+		t.Fatal(err)
+	}
+	c := g.client()
+	for _, i := range []int{0, 5000, 10_099} {
+		if r := c.do(state.Lookup{Key: model.HashKey("team", fmt.Sprint(i))}); r.Claim != state.ClaimHeld {
+			t.Fatalf("claim %d after the restart: %s", i, r.Claim)
+		}
+	}
+}
