Name the latch of the stall tests apart from the gate of the proofs

Cause: the proofs under failure declare a type of the same name in this test package. Change: the type and those that use it are renamed.

--- a/internal/service/control/stall_test.go
+++ b/internal/service/control/stall_test.go
@@ -21,47 +21,47 @@
 	"briaryard/internal/storage"
 )
 
-// gate holds back whoever waits at it until it is opened.
-type gate struct {
+// latch holds back whoever waits at it until it is opened.
+type latch struct {
 	once    sync.Once
 	opened  chan struct{}
 	reached chan struct{}
 }
 
-func newGate(t testing.TB) *gate {
-	g := &gate{opened: make(chan struct{}), reached: make(chan struct{}, 1000)}
+func newLatch(t testing.TB) *latch {
+	g := &latch{opened: make(chan struct{}), reached: make(chan struct{}, 1000)}
 	t.Cleanup(g.open)
 	return g
 }
 
-func (g *gate) open() { g.once.Do(func() { close(g.opened) }) }
+func (g *latch) open() { g.once.Do(func() { close(g.opened) }) }
 
-func (g *gate) wait() {
+func (g *latch) wait() {
 	g.reached <- struct{}{}
 	<-g.opened
 }
 
-// gatedFS holds back the syncs of snapshot files.
-type gatedFS struct {
+// latchedFS holds back the syncs of snapshot files.
+type latchedFS struct {
 	storage.OS
-	gate *gate
+	latch *latch
 }
 
-type gatedFile struct {
+type latchedFile struct {
 	storage.File
-	gate *gate
+	latch *latch
 }
 
-func (f gatedFS) Create(name string) (storage.File, error) {
+func (f latchedFS) Create(name string) (storage.File, error) {
 	file, err := f.OS.Create(name)
 	if err == nil && strings.HasPrefix(filepath.Base(name), "snapshot-") {
-		return gatedFile{file, f.gate}, nil
+		return latchedFile{file, f.latch}, nil
 	}
 	return file, err
 }
 
-func (f gatedFile) Sync() error {
-	f.gate.wait()
+func (f latchedFile) Sync() error {
+	f.latch.wait()
 	return f.File.Sync()
 }
 
@@ -80,14 +80,14 @@
 
 func (fullFile) Write([]byte) (int, error) { return 0, syscall.ENOSPC }
 
-// gatedCodecs holds back the decoding of snapshots.
-type gatedCodecs struct {
+// latchedCodecs holds back the decoding of snapshots.
+type latchedCodecs struct {
 	control.WireCodecs
-	gate *gate
+	latch *latch
 }
 
-func (c gatedCodecs) DecodeSnapshot(data []byte, limits state.Limits) (*state.Machine, error) {
-	c.gate.wait()
+func (c latchedCodecs) DecodeSnapshot(data []byte, limits state.Limits) (*state.Machine, error) {
+	c.latch.wait()
 	return c.WireCodecs.DecodeSnapshot(data, limits)
 }
 
@@ -113,8 +113,8 @@
 // replaces the log before its file is durable.
 func TestClaimsAreAcknowledgedWhileASnapshotIsWritten(t *testing.T) {
 	g := newGroup(t, 1)
-	slow := newGate(t)
-	g.files["v0"] = gatedFS{gate: slow}
+	slow := newLatch(t)
+	g.files["v0"] = latchedFS{latch: slow}
 	prepareFolder(t, filepath.Join(g.dir, "v0"), 10_100)
 	g.startAll()
 	c := g.client()
@@ -156,9 +156,9 @@
 	g.startAll()
 	c := g.client()
 	c.ask = []model.InstanceID{"v0", "v1", "v2"}
-	slow := newGate(t)
+	slow := newLatch(t)
 	for _, id := range []model.InstanceID{"v1", "v2"} {
-		g.startWith(id, gatedCodecs{gate: slow})
+		g.startWith(id, latchedCodecs{latch: slow})
 		if err := c.change(add(id)); err != nil {
 			t.Fatal(err)
 		}
