--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,7 +8,6 @@
 	"go.uber.org/fx"
 
 	"briaryard/internal/event"
-	"briaryard/internal/httpserve"
 	"briaryard/internal/kernel"
 	"briaryard/internal/metric"
 	"briaryard/internal/model"
@@ -74,10 +73,10 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.Supply(i.log, &i.settings, initial),
-		fx.Provide(metric.NewSet, settings.security, settings.outgoing, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
+		fx.Provide(metric.NewSet, settings.security, settings.outgoing, settings.fleet, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
 		fx.Provide(
-			service(func(l *event.Log, c trust.Configs) *peers.Service {
-				return peers.New(l, settings.peers(i.incarnation, c))
+			service(func(l *event.Log, c trust.Configs, t *trust.FleetTokens) *peers.Service {
+				return peers.New(l, settings.peers(i.incarnation, c, t))
 			}),
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(i.newControlClient),
@@ -107,13 +106,13 @@
 		Address: i.settings.CallerAddress, MaxBody: i.settings.MaxBodyBytes,
 		AddressTTL: int(i.settings.AddressTTL.Seconds()), Domain: model.FailureDomain(i.settings.FailureDomain),
 	})
-	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleTeam)})
+	s.Secure(listener(l, s, c, t, trust.RoleTeam))
 	return s
 }
 
 func (i *Instance) newAnnounce(l *event.Log, c trust.Configs, t *trust.TokenSource) *frontannounce.Service {
 	s := frontannounce.New(l, i.settings.ServerAddress)
-	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleServer)})
+	s.Secure(listener(l, s, c, t, trust.RoleServer))
 	return s
 }
 
@@ -122,7 +121,7 @@
 		Address: i.settings.OperAddress, Instance: model.InstanceID(i.settings.ID), Incarnation: i.incarnation,
 		Domain: model.FailureDomain(i.settings.FailureDomain), Health: i.kernel.Health, Drain: i.drain,
 	})
-	s.Secure(httpserve.Security{TLS: c.Listener, Guard: t.Guard(trust.RoleOperator)})
+	s.Secure(listener(l, s, c, t, trust.RoleOperator))
 	return s
 }
 
--- a/internal/service/peers/handshake.go
+++ b/internal/service/peers/handshake.go
@@ -21,17 +21,35 @@
 func (s *Service) hello() *peerpb.Hello {
 	i := s.options.Self
 	return &peerpb.Hello{
-		Version: protocolVersion, Token: s.options.Token, Instance: string(i.ID), Incarnation: s.incarnation.Load(),
+		Version: protocolVersion, Token: s.tokens()[0], Instance: string(i.ID), Incarnation: s.incarnation.Load(),
 		FailureDomain: string(i.Domain), PeerAddress: i.PeerAddress, CallerAddress: i.CallerAddress,
 		ServerAddress: i.ServerAddress, OperatorAddress: i.OperatorAddress, Voter: i.Voter,
 	}
 }
 
+// tokens returns the tokens of the fleet. The first is sent, all are accepted.
+func (s *Service) tokens() []string {
+	if s.options.Tokens != nil {
+		return s.options.Tokens()
+	}
+	return []string{s.options.Token}
+}
+
+// accepts compares a token with each of the fleet's, so that the time does not depend on which
+// one it is.
+func (s *Service) accepts(token string) bool {
+	got, equal := sha256.Sum256([]byte(token)), 0
+	for _, t := range s.tokens() {
+		want := sha256.Sum256([]byte(t))
+		equal |= subtle.ConstantTimeCompare(want[:], got[:])
+	}
+	return equal == 1
+}
+
 // check examines the hello of another instance.
 func (s *Service) check(h *peerpb.Hello) (model.Instance, fault.RefusalReason) {
-	want, got := sha256.Sum256([]byte(s.options.Token)), sha256.Sum256([]byte(h.GetToken()))
 	switch {
-	case subtle.ConstantTimeCompare(want[:], got[:]) != 1:
+	case !s.accepts(h.GetToken()):
 		return model.Instance{}, fault.RefusedToken
 	case h.GetVersion() != protocolVersion:
 		return model.Instance{}, fault.RefusedVersion
@@ -103,6 +121,11 @@
 // accept performs the handshake on a transport that another instance has dialed. The
 // "peers" duty decides whether the connection is used.
 func (s *Service) accept(ctx context.Context, transport net.Conn) {
+	if err := secure(ctx, transport); err != nil {
+		s.failures.Emit(time.Now(), transport.RemoteAddr().String(), err.Error())
+		_ = transport.Close()
+		return
+	}
 	c, err := acceptConn(transport)
 	if err != nil {
 		_ = transport.Close()
@@ -129,6 +152,18 @@
 	}
 }
 
+// secure performs the TLS handshake of an accepted transport. It would otherwise run within the
+// first read, whose failure does not tell the reason.
+func secure(ctx context.Context, transport net.Conn) error {
+	secured, ok := transport.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	return secured.HandshakeContext(ctx)
+}
+
 // refuse tells the other side why and closes the connection once it has read the refusal.
 func (s *Service) refuse(c *conn, reason fault.RefusalReason, known model.Incarnation) {
 	if reason != fault.RefusedDuplicate {
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -32,8 +32,10 @@
 	Listener net.Listener
 	// Peers are the addresses of a few other instances.
 	Peers []string
-	// Token is shared by the fleet.
-	Token string
+	// Token is shared by the fleet. Tokens, if set, is used instead and returns at least one
+	// token: the first is sent, all are accepted.
+	Token  string
+	Tokens func() []string
 	// Codecs encode messages to services that may not run at this instance, by name.
 	Codecs map[string]port.Codec
 	// ServerTLS and ClientTLS protect the connections; nil for plain connections.
@@ -50,6 +52,7 @@
 type Service struct {
 	options     Options
 	log         *event.Log
+	failures    *event.Limited
 	host        *kernel.Host
 	ring        *ring.Ring[message]
 	listener    net.Listener
@@ -69,7 +72,7 @@
 // New returns the service.
 func New(log *event.Log, o Options) *Service {
 	s := &Service{
-		options: o, log: log,
+		options: o, log: log, failures: log.Limit(event.PeerHandshakeFailed),
 		ring:     ring.New[message]("peers", ringCapacity, ring.Block),
 		handlers: make(map[string]handler),
 	}
--- a/internal/wire/controlwire/codec.go
+++ b/internal/wire/controlwire/codec.go
@@ -128,7 +128,11 @@
 }
 
 func resultToPB(r state.Result) (*controlpb.Result, error) {
-	m := &controlpb.Result{Index: r.Index, Claim: uint32(r.Claim), Answer: answerToPB(r.Answer), Revision: uint64(r.Revision)}
+	m := &controlpb.Result{Index: r.Index, Claim: uint32(r.Claim), Answer: answerToPB(r.Answer),
+		Revision: uint64(r.Revision), Older: r.Older}
+	for _, change := range r.Changes {
+		m.Changes = append(m.Changes, configToPB(change))
+	}
 	if r.Lease != (state.Lease{}) {
 		m.Lease = leaseToPB(r.Lease)
 	}
@@ -161,13 +165,27 @@
 		return &controlpb.Fault{Fault: &controlpb.Fault_VoterChangeInProgress{VoterChangeInProgress: &controlpb.Voter{Instance: string(f.Instance)}}}, nil
 	case *fault.UnknownVoter:
 		return &controlpb.Fault{Fault: &controlpb.Fault_UnknownVoter{UnknownVoter: &controlpb.Voter{Instance: string(f.Instance)}}}, nil
+	case *fault.QuorumLost:
+		m := &controlpb.QuorumLost{Instance: string(f.Instance), Needed: int64(f.Needed), Reachable: int64(f.Reachable)}
+		for _, id := range f.Silent {
+			m.Silent = append(m.Silent, string(id))
+		}
+		return &controlpb.Fault{Fault: &controlpb.Fault_QuorumLost{QuorumLost: m}}, nil
 	}
 	return nil, &EncodeError{Value: f, Reason: "unknown fault"}
 }
 
 func (c *checker) result(m *controlpb.Result) state.Result {
-	return state.Result{Index: m.GetIndex(), Claim: c.claimStatus(m.GetClaim()), Answer: c.answer(m.GetAnswer()),
-		Lease: c.lease(m.GetLease()), Revision: model.Revision(m.GetRevision()), Err: c.fault(m.GetFault())}
+	r := state.Result{Index: m.GetIndex(), Claim: c.claimStatus(m.GetClaim()), Answer: c.answer(m.GetAnswer()),
+		Lease: c.lease(m.GetLease()), Revision: model.Revision(m.GetRevision()), Older: m.GetOlder(), Err: c.fault(m.GetFault())}
+	if len(m.GetChanges()) > state.ChangesPerPage {
+		c.fail("too many changes")
+		return r
+	}
+	for _, change := range m.GetChanges() {
+		r.Changes = append(r.Changes, c.config(change))
+	}
+	return r
 }
 
 func (c *checker) fault(m *controlpb.Fault) fault.Fault {
@@ -192,11 +210,25 @@
 		return &fault.VoterChangeInProgress{Instance: c.instance(f.VoterChangeInProgress.GetInstance())}
 	case *controlpb.Fault_UnknownVoter:
 		return &fault.UnknownVoter{Instance: c.instance(f.UnknownVoter.GetInstance())}
+	case *controlpb.Fault_QuorumLost:
+		return c.quorumLost(f.QuorumLost)
 	}
 	c.fail("unknown fault")
 	return nil
 }
 
+func (c *checker) quorumLost(m *controlpb.QuorumLost) fault.Fault {
+	f := &fault.QuorumLost{Instance: c.instance(m.GetInstance()), Needed: c.number(m.GetNeeded()), Reachable: c.number(m.GetReachable())}
+	if len(m.GetSilent()) > maxInstances {
+		c.fail("too many instances")
+		return f
+	}
+	for _, id := range m.GetSilent() {
+		f.Silent = append(f.Silent, c.instance(id))
+	}
+	return f
+}
+
 func (c *checker) conflict(m *controlpb.ConfigConflict) fault.ConfigConflict {
 	return fault.ConfigConflict{Number: model.Revision(m.GetNumber()), Current: model.Revision(m.GetCurrent()),
 		WinnerChange: c.text(m.GetWinnerChange()), WinnerOperator: c.text(m.GetWinnerOperator())}
--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -40,6 +40,7 @@
 		state.AcquireLease{Name: "dispatcher/chat", Holder: "i1", Incarnation: 7, After: 3},
 		state.ReleaseLease{Name: "dispatcher/chat", Epoch: 4},
 		state.ChangeVoters{Instance: "i4", Remove: true},
+		state.ListChanges{Before: 7},
 	}
 }
 
@@ -53,10 +54,13 @@
 			Voters: []model.InstanceID{"i1", "i2"}, Confirmed: []port.Confirmation{{Instance: "i1", Revision: 2, Stopping: true}}},
 		port.CommandReply{ID: 3, NotLeader: true, Leader: "i2"},
 		port.CommandReply{ID: 3, Result: state.Result{Index: 5, Claim: state.ClaimFinished, Answer: answer, Lease: lease, Revision: 2}},
+		port.CommandReply{ID: 3, Result: state.Result{Index: 5, Older: true, Changes: []state.AcceptedConfig{
+			{Revision: 1, ChangeID: "c1", Operator: "ana", At: time.Unix(5, 6).UTC()}, {Revision: 2, ChangeID: "c2"}}}},
 	}
 	for _, f := range []fault.Fault{
 		&fault.ClaimsFull{Limit: 10}, &fault.ChangeReused{ChangeID: "c1"}, &fault.ControlUnavailable{Operation: "Claim"},
 		&fault.LastVoter{Instance: "i1"}, &fault.VoterChangeInProgress{Instance: "i1"}, &fault.UnknownVoter{Instance: "i1"},
+		&fault.QuorumLost{Instance: "i1", Needed: 2, Reachable: 1, Silent: []model.InstanceID{"i2"}},
 		&fault.ConfigConflict{Number: 2, Current: 3, WinnerChange: "c2", WinnerOperator: "luz"},
 	} {
 		all = append(all, port.CommandReply{ID: 4, Result: state.Result{Err: f}})
