Make lost messages between an instance and its dispatcher up within a stated time

Cause: when a connection is replaced, messages can be lost for good: the other instance restarted, a link was given up, or there was a gap. Nothing told the services. A lost grant counted as outstanding for ever unless a later grant arrived, a lost registration waited until its deadline, and the request for the state of a new instance was sent once. The requests of an instance that was removed and came back were taken for ended. Change: the peers service reports PeerReset when the numbering begins again, and the dispatcher then asks the instance for its state. Requests for state wait in the outbox behind the decisions and name the last grant sent before them, so that a grant that has not arrived by then is known to be lost. Every 10 s the dispatcher sends each instance a digest of its requests and gets the state if they differ. Every connection of the membership begins with a digest. The dispatcher takes the requests of an instance back when its state lists them.

--- a/internal/decide/dispatch/memory.go
+++ b/internal/decide/dispatch/memory.go
@@ -13,7 +13,10 @@
 	// evicted repeats the decision if the instance still lists the request as waiting.
 	evicted bool
 	kind    Kind
-	grant   model.Grant
+	// gone means that the request was forgotten with its instance. If the instance was only cut
+	// off, its state lists the request again.
+	gone  bool
+	grant model.Grant
 }
 
 // memory remembers the most recent endings.
--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -223,7 +223,7 @@
 		switch {
 		case ended && e.evicted:
 			p.emit(Decision{Kind: e.kind, Descriptor: d, Reason: "repeated for an instance that still lists the request"})
-		case !ended || !e.final:
+		case !ended || !e.final || e.gone:
 			p.add(d)
 		}
 	}
@@ -234,7 +234,7 @@
 // takeOver counts a request that another dispatcher granted.
 func (p *Pool) takeOver(now time.Time, o *Outstanding) {
 	id := o.Grant.Request
-	if e, ok := p.memory.endings[id]; ok && (e.final || e.grant == o.Grant) {
+	if e, ok := p.memory.endings[id]; ok && (e.final && !e.gone || e.grant == o.Grant) {
 		return
 	}
 	r := p.requests[id]
@@ -277,7 +277,7 @@
 }
 
 func (p *Pool) lost(r *request) {
-	p.memory.add(r.desc.ID, ending{final: true})
+	p.memory.add(r.desc.ID, ending{final: true, gone: true})
 	if r.phase == granted {
 		p.fleet.Progress(r.work, model.Progress{Request: r.desc.ID, Kind: model.ProgressCancelled})
 	}
--- a/internal/decide/dispatch/reconcile.go
+++ b/internal/decide/dispatch/reconcile.go
@@ -49,3 +49,15 @@
 	}
 	p.drop(r)
 }
+
+// Sequence returns the number of the last grant to an instance.
+func (p *Pool) Sequence(id model.InstanceID) uint64 { return p.sequences[id] }
+
+// Digest returns the digest of the requests of an instance, to compare with its own.
+func (p *Pool) Digest(id model.InstanceID) model.RequestDigest {
+	var d model.RequestDigest
+	for r := p.instances[id]; r != nil; r = r.next {
+		d.Add(r.desc.ID, r.phase == granted)
+	}
+	return d
+}
--- a/internal/decide/member/liveness.go
+++ b/internal/decide/member/liveness.go
@@ -18,7 +18,9 @@
 	if !m.settled {
 		m.sends = append(m.sends, Send{To: r.ID, Body: Want{Whole: true}})
 	}
-	m.sends = append(m.sends, Send{To: r.ID, Body: Records{Instances: []model.Instance{m.self}}})
+	// Changes that were lost with an earlier connection are made up for at once.
+	m.sends = append(m.sends, Send{To: r.ID, Body: Records{Instances: []model.Instance{m.self}}},
+		Send{To: r.ID, Body: Digest{Buckets: m.digest()}})
 }
 
 // PeerHeard reports that a silent connection carries data again.
--- a/internal/port/dispatch.go
+++ b/internal/port/dispatch.go
@@ -26,8 +26,9 @@
 	// does not block; it returns ring.FullError when there is no room.
 	Attach(sink func(DispatchEvent) error)
 	// AttachState sets the source of the entry's waiting and outstanding requests, which
-	// a new dispatcher asks for. The answer comes through Resync.
-	AttachState(request func(pool model.PoolID) error)
+	// a dispatcher asks for. The answer comes through Resync; there is none when the request
+	// compares and the digests are equal.
+	AttachState(request func(StateRequest) error)
 	// Resync answers a request for state.
 	Resync(s EntryState)
 }
@@ -42,6 +43,18 @@
 	Outstanding []Outstanding
 }
 
+// Digest returns the digest of the state's requests.
+func (s *EntryState) Digest() model.RequestDigest {
+	var d model.RequestDigest
+	for i := range s.Waiting {
+		d.Add(s.Waiting[i].ID, false)
+	}
+	for i := range s.Outstanding {
+		d.Add(s.Outstanding[i].Grant.Request, true)
+	}
+	return d
+}
+
 // Outstanding is a granted request that has not ended.
 type Outstanding struct {
 	Grant      model.Grant
--- a/internal/port/dispatchmsg.go
+++ b/internal/port/dispatchmsg.go
@@ -29,6 +29,12 @@
 	StateRequest struct {
 		Pool  model.PoolID
 		Epoch model.Epoch
+		// Sequence is the last grant that was sent to the instance before the request. The
+		// instance has received the grants up to it, or they are lost.
+		Sequence uint64
+		// Compare asks for an answer only if the instance's digest differs.
+		Compare bool
+		Digest  model.RequestDigest
 	}
 )
 
--- a/internal/port/peers.go
+++ b/internal/port/peers.go
@@ -36,6 +36,10 @@
 	PeerHeard
 	// PeerDown means that there is no connection.
 	PeerDown
+	// PeerReset follows PeerUp when the numbering of messages began again with the connection:
+	// messages that were sent before it, in either direction, may be lost. What is sent after
+	// the report arrives after everything that was not lost.
+	PeerReset
 )
 
 // PeerStatus reports a change of the connection to an instance.
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -55,11 +55,14 @@
 
 // Service routes between the entry service and dispatchers.
 type Service struct {
-	log    *event.Log
-	ring   *ring.Ring[message]
-	peers  port.Peers
-	events *ring.Outbox[port.DispatchEvent]
-	states *ring.Outbox[model.PoolID]
+	log   *event.Log
+	ring  *ring.Ring[message]
+	peers port.Peers
+	// sinks take what the entry service receives; entry keeps their order, because a request
+	// for state names the last grant before it.
+	events func(port.DispatchEvent) error
+	states func(port.StateRequest) error
+	entry  *ring.Outbox[any]
 
 	// routes belongs to the dispatch duty.
 	routes map[model.PoolID]*route
@@ -67,11 +70,24 @@
 
 // New returns the service.
 func New(log *event.Log) *Service {
-	return &Service{
+	s := &Service{
 		log:    log,
 		ring:   ring.New[message]("dispatch", ringCapacity, ring.Block),
 		routes: make(map[model.PoolID]*route),
 	}
+	s.entry = ring.NewOutbox(s.toEntry)
+	return s
+}
+
+// toEntry gives a decision or a request for state to the entry service.
+func (s *Service) toEntry(m any) error {
+	switch m := m.(type) {
+	case port.DispatchEvent:
+		return s.events(m)
+	case port.StateRequest:
+		return s.states(m)
+	}
+	return nil
 }
 
 // Name implements kernel.Service.
@@ -120,10 +136,10 @@
 func (s *Service) put(m message) { _ = s.ring.Put(context.Background(), m) }
 
 // Attach implements port.Dispatch.
-func (s *Service) Attach(sink func(port.DispatchEvent) error) { s.events = ring.NewOutbox(sink) }
+func (s *Service) Attach(sink func(port.DispatchEvent) error) { s.events = sink }
 
 // AttachState implements port.Dispatch.
-func (s *Service) AttachState(request func(model.PoolID) error) { s.states = ring.NewOutbox(request) }
+func (s *Service) AttachState(request func(port.StateRequest) error) { s.states = request }
 
 // Register implements port.Dispatch.
 func (s *Service) Register(d model.Descriptor) { s.put(register{d}) }
@@ -138,8 +154,7 @@
 func (s *Service) Resync(st port.EntryState) { s.put(resync{st}) }
 
 func (s *Service) handle(_ time.Time, m message) {
-	s.events.Flush()
-	s.states.Flush()
+	s.entry.Flush()
 	switch m := m.(type) {
 	case register:
 		s.send(m.descriptor.Pool, port.RegisterMessage{Descriptor: m.descriptor})
@@ -159,12 +174,11 @@
 }
 
 func (s *Service) onTick(time.Time) {
-	s.events.Flush()
-	s.states.Flush()
+	s.entry.Flush()
 	for pool, r := range s.routes {
 		if r.stale && r.holder != "" {
 			r.stale = false
-			s.states.Send(pool)
+			s.entry.Send(port.StateRequest{Pool: pool})
 		}
 	}
 }
@@ -223,12 +237,12 @@
 			return
 		}
 		s.setHolder(b.Event.Pool, m.From, b.Event.Epoch)
-		s.events.Send(b.Event)
+		s.entry.Send(b.Event)
 	case port.StateRequest:
 		if r := s.routes[b.Pool]; r != nil && b.Epoch < r.epoch {
 			return
 		}
 		s.setHolder(b.Pool, m.From, b.Epoch)
-		s.states.Send(b.Pool)
+		s.entry.Send(b)
 	}
 }
--- a/internal/service/dispatch/service_test.go
+++ b/internal/service/dispatch/service_test.go
@@ -35,7 +35,7 @@
 	s.peers = peers
 	s.Attach(func(port.DispatchEvent) error { return nil })
 	asked := 0
-	s.AttachState(func(model.PoolID) error { asked++; return nil })
+	s.AttachState(func(port.StateRequest) error { asked++; return nil })
 	s.setHolder("m", "i1", 1)
 	now := time.Now()
 	s.handle(now, report{model.Progress{Pool: "m", Kind: model.ProgressFinished}})
--- a/internal/service/dispatcher/outbox.go
+++ b/internal/service/dispatcher/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"briaryard/internal/fault"
 	"briaryard/internal/model"
@@ -13,21 +14,29 @@
 // and outstanding requests that an instance has in a pool at the design size.
 const outboxCapacity = 8192
 
-// outbox keeps the decisions that could not be queued for an instance, in order. A lost
-// grant would count as outstanding, and a lost eviction would leave its request waiting.
+// outbox keeps the decisions and requests for state that could not be queued for an instance,
+// in order. A lost grant would count as outstanding, and a lost eviction would leave its
+// request waiting. A request for state names the last grant before it.
 type outbox struct {
 	send    func(to model.InstanceID, body any) error
-	pending map[model.InstanceID][]port.EventMessage
+	pending map[model.InstanceID][]any
 }
 
 func newOutbox(send func(to model.InstanceID, body any) error) *outbox {
-	return &outbox{send: send, pending: make(map[model.InstanceID][]port.EventMessage)}
+	return &outbox{send: send, pending: make(map[model.InstanceID][]any)}
 }
 
-// put sends a decision after everything that waits for the instance. It reports false when
-// the decision is lost: there is no room, or it can never be sent.
-func (o *outbox) put(to model.InstanceID, m port.EventMessage) bool {
+// put sends a message after everything that waits for the instance. It reports false when
+// the message is lost: there is no room, or it can never be sent. Of the requests for the
+// state of a pool only the last one waits.
+func (o *outbox) put(to model.InstanceID, m any) bool {
 	waiting := o.pending[to]
+	if r, ok := m.(port.StateRequest); ok {
+		waiting = slices.DeleteFunc(waiting, func(w any) bool {
+			earlier, same := w.(port.StateRequest)
+			return same && earlier.Pool == r.Pool
+		})
+	}
 	if len(waiting) == 0 {
 		err := o.send(to, m)
 		if !retryable(err) {
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -20,6 +20,10 @@
 	tick = 20 * time.Millisecond
 	// askAgain is how long an instance has to answer a request for its state.
 	askAgain = time.Second
+	// compareEvery is how often each instance compares its requests with those known here. It
+	// bounds the time that a loss lasts which nothing reports. A comparison takes about 40
+	// bytes when there is no difference.
+	compareEvery = 10 * time.Second
 )
 
 type message interface{ message() }
@@ -32,10 +36,14 @@
 
 type received struct{ from port.PeerMessage }
 
+// reset reports that messages from or to an instance may be lost.
+type reset struct{ instance model.InstanceID }
+
 func (leases) message()     {}
 func (viewed) message()     {}
 func (configured) message() {}
 func (received) message()   {}
+func (reset) message()      {}
 
 // pool is a pool whose lease is held here.
 type pool struct {
@@ -45,6 +53,16 @@
 	ready  bool
 	// asked is when the instances were last asked for their requests.
 	asked time.Time
+	// compared is when an instance was last asked to compare; next is the one that follows.
+	compared time.Time
+	next     int
+}
+
+// want is a request for state that is sent after the decisions made before it.
+type want struct {
+	to      model.InstanceID
+	pool    model.PoolID
+	compare bool
 }
 
 // Service runs dispatchers.
@@ -61,6 +79,7 @@
 	// table is the last lease table.
 	table  []port.Lease
 	outbox *outbox
+	wants  []want
 }
 
 // New returns the service.
@@ -90,9 +109,11 @@
 		members port.Members
 		control port.ControlClient
 		config  port.Config
+		links   port.PeerLinks
 	)
 	err := r.Bind(
 		kernel.Into(port.PeersName, &s.peers),
+		kernel.Into(port.PeersName, &links),
 		kernel.Into(port.MembersName, &members),
 		kernel.Into(port.ControlClientName, &control),
 		kernel.Into(port.ConfigName, &config),
@@ -104,6 +125,12 @@
 	control.SubscribeLeases(func(l []port.Lease) { s.offer(leases{l}) })
 	members.Subscribe(func(v *model.View) { s.offer(viewed{v}) })
 	config.Subscribe(func(c *model.Config) { s.offer(configured{c}) })
+	links.SubscribeStatus(func(st port.PeerStatus) error {
+		if st.State != port.PeerReset {
+			return nil
+		}
+		return s.ring.Offer(reset{st.Instance.ID})
+	})
 	s.peers.Handle(port.DispatcherName, dispatchwire.New(), func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
 	return nil
 }
@@ -142,6 +169,10 @@
 		}
 	case received:
 		s.received(now, m.from)
+	case reset:
+		for id := range s.pools {
+			s.wants = append(s.wants, want{to: m.instance, pool: id})
+		}
 	}
 	s.perform(now)
 }
@@ -153,10 +184,24 @@
 		if !p.ready && now.Sub(p.asked) >= askAgain {
 			s.ask(now, id, p)
 		}
+		s.compare(now, id, p)
 	}
 	s.perform(now)
 }
 
+// compare asks the instances in turn whether their requests are those known here.
+func (s *Service) compare(now time.Time, id model.PoolID, p *pool) {
+	n := len(s.view.Instances)
+	if !p.ready || n == 0 || now.Sub(p.compared) < compareEvery/time.Duration(n) {
+		return
+	}
+	p.compared = now
+	p.next = (p.next + 1) % n
+	if i := s.view.Instances[p.next]; i.State != model.Gone {
+		s.wants = append(s.wants, want{to: i.ID, pool: id, compare: true})
+	}
+}
+
 // setLeases starts and stops pools to match the leases held here.
 func (s *Service) setLeases(now time.Time, all []port.Lease) {
 	held := make(map[model.PoolID]port.Lease)
@@ -198,28 +243,40 @@
 	s.ask(now, id, p)
 }
 
-// ask requests the state of every instance. A request that cannot be queued is repeated
-// while the pool is not ready.
+// ask requests the state of every instance.
 func (s *Service) ask(now time.Time, id model.PoolID, p *pool) {
 	p.asked = now
 	for _, i := range s.view.Instances {
 		if i.State != model.Gone {
-			s.askOne(i.ID, id, p)
+			s.wants = append(s.wants, want{to: i.ID, pool: id})
 		}
 	}
 }
 
-func (s *Service) askOne(to model.InstanceID, id model.PoolID, p *pool) {
-	_ = s.peers.Send(to, port.DispatchName, port.StateRequest{Pool: id, Epoch: p.epoch})
+// sendWants sends the requests for state. The decisions made before have been sent or wait in
+// the outbox, so that the grants up to the named one arrive first.
+func (s *Service) sendWants() {
+	for _, w := range s.wants {
+		p := s.pools[w.pool]
+		if p == nil {
+			continue
+		}
+		r := port.StateRequest{Pool: w.pool, Epoch: p.epoch, Sequence: p.decide.Sequence(w.to), Compare: w.compare}
+		if w.compare {
+			r.Digest = p.decide.Digest(w.to)
+		}
+		s.outbox.put(w.to, r)
+	}
+	s.wants = nil
 }
 
 // askNew requests the state of instances that were not in the old view, or that this one
 // had removed: their requests were forgotten.
-func (s *Service) askNew(old *model.View, id model.PoolID, p *pool) {
+func (s *Service) askNew(old *model.View, id model.PoolID) {
 	for _, i := range s.view.Instances {
 		was, ok := old.Instance(i.ID)
 		if i.State != model.Gone && (!ok || was.State == model.Gone || was.Incarnation != i.Incarnation) {
-			s.askOne(i.ID, id, p)
+			s.wants = append(s.wants, want{to: i.ID, pool: id})
 		}
 	}
 }
@@ -246,7 +303,7 @@
 		}
 	}
 	for id, p := range s.pools {
-		s.askNew(old, id, p)
+		s.askNew(old, id)
 		p.decide.SetInstances(v.Instances)
 		p.decide.SetServers(now, serversOf(v, id))
 		for _, was := range old.Instances {
@@ -261,7 +318,17 @@
 	}
 }
 
+// outdated reports whether a message comes from an instance that has been removed or replaced.
+// An instance that comes back is asked for its state when the view lists it again.
+func (s *Service) outdated(m port.PeerMessage) bool {
+	i, ok := s.view.Instance(m.From)
+	return ok && (i.Incarnation > m.Incarnation || i.Incarnation == m.Incarnation && i.State == model.Gone)
+}
+
 func (s *Service) received(now time.Time, m port.PeerMessage) {
+	if s.outdated(m) {
+		return
+	}
 	switch b := m.Body.(type) {
 	case port.RegisterMessage:
 		if p := s.pools[b.Descriptor.Pool]; p != nil {
@@ -323,6 +390,7 @@
 			s.performOne(id, p.epoch, d)
 		}
 	}
+	s.sendWants()
 }
 
 func (s *Service) performOne(id model.PoolID, epoch model.Epoch, d decide.Decision) {
--- a/internal/service/entry/message.go
+++ b/internal/service/entry/message.go
@@ -23,7 +23,7 @@
 	reply port.ControlReply
 }
 
-type stateWanted struct{ pool model.PoolID }
+type stateWanted struct{ request port.StateRequest }
 
 type configured struct{ config *model.Config }
 
--- a/internal/service/entry/service.go
+++ b/internal/service/entry/service.go
@@ -102,7 +102,7 @@
 		members.SetSelf(model.Alive, !ok)
 	})
 	s.dispatch.Attach(func(e port.DispatchEvent) error { return s.ring.Offer(dispatched{e}) })
-	s.dispatch.AttachState(func(p model.PoolID) error { return s.ring.Offer(stateWanted{p}) })
+	s.dispatch.AttachState(func(r port.StateRequest) error { return s.ring.Offer(stateWanted{r}) })
 	s.transfer.Attach(func(e port.TransferEvent) error { return s.ring.Offer(transferred{e}) })
 	return nil
 }
@@ -186,7 +186,7 @@
 	case controlled:
 		s.perform(s.machine.Controlled(now, m.id, m.team, m.result()))
 	case stateWanted:
-		s.sendState(m.pool)
+		s.sendState(m.request)
 	case configured:
 		s.machine.SetConfig(m.config)
 	case viewed:
@@ -288,12 +288,21 @@
 	}
 }
 
-func (s *Service) sendState(pool model.PoolID) {
-	waiting, outstanding := s.machine.PoolState(pool)
-	seen := s.seen[pool]
-	st := port.EntryState{Pool: pool, Epoch: seen.epoch, Sequence: seen.sequence, Waiting: waiting}
+// sendState answers a request for state. Grants that were sent before it and have not arrived
+// are lost, so they count as received.
+func (s *Service) sendState(r port.StateRequest) {
+	seen := s.seen[r.Pool]
+	if sent := (grantMark{r.Epoch, r.Sequence}); sent.epoch > seen.epoch || sent.epoch == seen.epoch && sent.sequence > seen.sequence {
+		seen = sent
+		s.seen[r.Pool] = sent
+	}
+	waiting, outstanding := s.machine.PoolState(r.Pool)
+	st := port.EntryState{Pool: r.Pool, Epoch: seen.epoch, Sequence: seen.sequence, Waiting: waiting}
 	for _, o := range outstanding {
 		st.Outstanding = append(st.Outstanding, port.Outstanding{Grant: o.Grant, Descriptor: o.Descriptor})
 	}
+	if r.Compare && r.Digest == st.Digest() {
+		return
+	}
 	s.dispatch.Resync(st)
 }
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -184,6 +184,8 @@
 		s.machine.PeerUp(now, st.Instance)
 	case port.PeerHeard:
 		s.machine.PeerHeard(now, st.Instance.ID)
+	case port.PeerReset:
+		// Every new connection begins with a digest.
 	case port.PeerSilent, port.PeerDown:
 		s.machine.PeerSilent(now, st.Instance.ID, st.LastHeard, st.State == port.PeerDown)
 	}
--- /dev/null
+++ b/internal/service/peers/reset_test.go
@@ -0,0 +1,43 @@
+package peers_test
+
+import (
+	"net"
+	"testing"
+
+	"briaryard/internal/port"
+	"briaryard/internal/standin/relay"
+)
+
+// Guards against messages that are lost without a report to the services, and against a report
+// after a replaced connection on which everything was sent again.
+func TestLossOfMessagesIsReported(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	address := lb.Addr().String()
+	toA, err := relay.New(la.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer toA.Close()
+	a := startNode(t, "a", 1, "secret", la, "")
+	b := startNode(t, "b", 1, "secret", lb, "", toA.Address())
+	up := func(n int) func() bool {
+		return func() bool { return a.count(port.PeerUp) >= n && b.count(port.PeerUp) >= n }
+	}
+	eventually(t, "connection", up(1))
+	toA.Reset()
+	eventually(t, "second connection", up(2))
+	a.sendAll(t, "b", 0, 5)
+	wantSequence(t, b, 5)
+	if n := a.count(port.PeerReset); n != 1 {
+		t.Fatalf("%d resets are reported after a connection that lost nothing, want the one of the first connection", n)
+	}
+	b.stop()
+	eventually(t, "loss", func() bool { return a.count(port.PeerDown) >= 2 })
+	a.sendAll(t, "b", 5, 10)
+	l2, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	startNode(t, "b", 2, "secret", l2, "", toA.Address())
+	eventually(t, "report of the loss", func() bool { return a.count(port.PeerReset) >= 2 })
+}
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -206,7 +206,12 @@
 	if len(data) > maxBody {
 		return &fault.PeerProtocol{Reason: "message too large"}
 	}
-	return l.out.Offer(outgoing{service: service, body: data, incarnation: model.Incarnation(l.incarnation.Load())})
+	err = l.out.Offer(outgoing{service: service, body: data, incarnation: model.Incarnation(l.incarnation.Load())})
+	if _, closed := err.(*ring.ClosedError); closed {
+		// The link has just been given up; another one may take its place.
+		return &fault.PeerUnreachable{Instance: to}
+	}
+	return err
 }
 
 // Health implements kernel.HealthReporter.
--- a/internal/service/peers/table.go
+++ b/internal/service/peers/table.go
@@ -72,6 +72,14 @@
 	abandoned uint64
 	// remoteLink is the newest link number that the other side has shown in its incarnation.
 	remoteLink uint64
+	// of is the numbering of the last connection, in both directions.
+	of bothNumberings
+}
+
+// bothNumberings identifies the numbering of messages in both directions.
+type bothNumberings struct {
+	own    uint64
+	remote numbering
 }
 
 // attempt is the state of dialing one address.
@@ -253,6 +261,10 @@
 	p.link.use(c)
 	t.service.log.Emit(event.PeerUp, p.record.ID, p.record.Incarnation, p.address, c.dialed)
 	t.status(c, port.PeerUp, time.Now())
+	if of := (bothNumberings{p.link.nonce, numberingOf(c)}); of != p.of {
+		p.of = of
+		t.status(c, port.PeerReset, time.Now())
+	}
 }
 
 func (t *table) add(id model.InstanceID) *peer {
@@ -282,7 +294,8 @@
 	t.service.log.Emit(event.PeerDown, p.record.ID, p.record.Incarnation, l.reason)
 	if l.gap {
 		// The two sides disagree about the numbering. A new link makes the other side begin
-		// again at one; what it believes to be delivered and is not, is lost.
+		// again at one; what it believes to be delivered and is not, is lost. The next
+		// connection reports that to the services.
 		p.link.end()
 		p.link = newLink(t.service, p.record.ID)
 		t.publish()
--- a/internal/wire/dispatchwire/codec.go
+++ b/internal/wire/dispatchwire/codec.go
@@ -35,7 +35,9 @@
 	case port.EventMessage:
 		env.Body = &pb.Envelope_Event{Event: e.event(m.Event)}
 	case port.StateRequest:
-		env.Body = &pb.Envelope_StateRequest{StateRequest: &pb.StateRequest{Pool: string(m.Pool), Epoch: uint64(m.Epoch)}}
+		env.Body = &pb.Envelope_StateRequest{StateRequest: &pb.StateRequest{
+			Pool: string(m.Pool), Epoch: uint64(m.Epoch), Sequence: m.Sequence, Compare: m.Compare, Digest: uint64(m.Digest),
+		}}
 	default:
 		return nil, &fault.PeerProtocol{Reason: fmt.Sprintf("no encoding for %T", body)}
 	}
--- a/internal/wire/dispatchwire/codec_test.go
+++ b/internal/wire/dispatchwire/codec_test.go
@@ -36,7 +36,7 @@
 		port.EventMessage{Event: port.DispatchEvent{
 			Kind: port.DispatchGranted, Sequence: 6, Grant: g, ID: id, Pool: "notes", Epoch: 5, Tier: model.Batch, Deadline: now.Add(time.Minute),
 		}},
-		port.StateRequest{Pool: "notes", Epoch: 5},
+		port.StateRequest{Pool: "notes", Epoch: 5, Sequence: 6, Compare: true, Digest: 7},
 	}
 }
 
--- a/internal/wire/dispatchwire/decode.go
+++ b/internal/wire/dispatchwire/decode.go
@@ -43,7 +43,11 @@
 	case *pb.Envelope_Event:
 		return port.EventMessage{Event: d.event(b.Event)}
 	case *pb.Envelope_StateRequest:
-		return port.StateRequest{Pool: d.pool(b.StateRequest.GetPool()), Epoch: model.Epoch(b.StateRequest.GetEpoch())}
+		r := b.StateRequest
+		return port.StateRequest{
+			Pool: d.pool(r.GetPool()), Epoch: model.Epoch(r.GetEpoch()), Sequence: r.GetSequence(),
+			Compare: r.GetCompare(), Digest: model.RequestDigest(r.GetDigest()),
+		}
 	}
 	d.bad("message of no known kind")
 	return nil
