--- a/internal/decide/member/liveness.go
+++ b/internal/decide/member/liveness.go
@@ -13,6 +13,11 @@
 	if i == nil || r.Incarnation < i.record.Incarnation {
 		return
 	}
+	if m.isolated {
+		// The others may have adopted the backend servers that were not heard here.
+		m.isolated = false
+		m.hold(now, "this instance was cut off from all others")
+	}
 	i.up, i.silent, i.heard = true, false, now
 	m.judge(i, model.Alive, "connected")
 	if !m.settled {
@@ -39,8 +44,9 @@
 		return
 	}
 	i.silent, i.heard = true, heard
-	if down {
+	if down && i.up {
 		i.up = false
+		m.isolated = len(m.Connected()) == 0
 	}
 	m.detectCutOff(now)
 }
@@ -80,6 +86,7 @@
 		m.settled, m.changed = true, true
 	}
 	m.forget(now)
+	m.restore()
 	if now.Before(m.holdUntil) {
 		return
 	}
@@ -116,9 +123,6 @@
 	}
 	home := m.instances[s.record.Home]
 	switch gone := home == nil || home.judged == model.Gone; {
-	case !gone && !s.orphaned.IsZero():
-		s.orphaned, s.lost = time.Time{}, false
-		m.changed = true
 	case gone && s.orphaned.IsZero():
 		s.orphaned = now
 		m.changed = true
@@ -133,10 +137,27 @@
 	}
 }
 
+// restore takes backend servers back whose home has come back. It does so also while nothing
+// expires.
+func (m *Machine) restore() {
+	for _, s := range m.servers {
+		if s.orphaned.IsZero() || s.record.Home == m.self.ID {
+			continue
+		}
+		if home := m.instances[s.record.Home]; home != nil && home.judged != model.Gone {
+			s.orphaned, s.lost = time.Time{}, false
+			m.changed = true
+		}
+	}
+}
+
 // expireOwn judges a backend server whose home is this instance.
 func (m *Machine) expireOwn(now time.Time, s *server) {
 	r := s.record
 	switch silence := now.Sub(s.heard); {
+	case silence >= GoneAfter && m.isolated:
+		m.loseOwn(now, s)
+		return
 	case silence >= GoneAfter:
 		r.State = model.Gone
 	case silence >= SuspectAfter && r.State == model.Alive:
@@ -149,6 +170,20 @@
 	m.flood.Servers = append(m.flood.Servers, r)
 }
 
+// loseOwn judges a backend server while no other instance can be reached. Another one may have
+// adopted it, so its record, in which gone would be final, stays as it is.
+func (m *Machine) loseOwn(now time.Time, s *server) {
+	if s.lost {
+		return
+	}
+	s.lost, s.orphaned = true, now
+	m.changed = true
+	m.changes = append(m.changes, Change{
+		Server: s.record.ID, Incarnation: s.record.Incarnation, State: model.Gone,
+		Reason: "no heartbeat, and this instance is cut off from all others",
+	})
+}
+
 // forget drops members that have been gone for long.
 func (m *Machine) forget(now time.Time) {
 	for id, i := range m.instances {
--- a/internal/decide/member/machine.go
+++ b/internal/decide/member/machine.go
@@ -52,13 +52,15 @@
 
 // Machine keeps the membership as one instance sees it.
 type Machine struct {
-	self       model.Instance
-	instances  map[model.InstanceID]*instance
-	servers    map[model.BackendServerID]*server
-	began      time.Time
-	lastTick   time.Time
-	holdUntil  time.Time
-	cutOff     bool
+	self      model.Instance
+	instances map[model.InstanceID]*instance
+	servers   map[model.BackendServerID]*server
+	began     time.Time
+	lastTick  time.Time
+	holdUntil time.Time
+	cutOff    bool
+	// isolated means that the last connection to another instance has ended.
+	isolated   bool
 	settled    bool
 	digestAt   time.Time
 	digestTo   int
--- a/internal/decide/member/merge.go
+++ b/internal/decide/member/merge.go
@@ -121,6 +121,10 @@
 		}
 	}
 	s.heard = now
+	if s.lost {
+		s.orphaned, s.lost = time.Time{}, false
+		m.changed = true
+	}
 	if sameContent(a, old) {
 		return result
 	}
--- a/internal/proving/fleet_test.go
+++ b/internal/proving/fleet_test.go
@@ -59,7 +59,7 @@
 
 // network returns the addresses of the n-th spec of this run.
 func network(n int) string {
-	const first, runs, specs = 50, 35, 5
+	const first, runs, specs = 50, 25, 7
 	return fmt.Sprintf("127.%d", first+os.Getpid()%runs*specs+n)
 }
 
