Wake an idle instance less often

Cause: an idle entry of a fleet of 12 parked goroutines 379 times and started processors 588 times a second, and a wakeup costs about 25 us of processor time. Half of the parks were ticks of duties with nothing to time, and each connection had a timer of its own at 250 ms and woke its sending duty for every frame that arrived. Change: kernel.Loop takes Quiet, which reports that no time limit runs, and an interval for that time; entry, transfer, dispatch, dispatcher, peers, members and the control client use it. All connections of an instance send their heartbeats at the same time, still every 500 ms. What arrives wakes the sending duty only when an acknowledgement is due (64 messages or 1 MB) or the window is full. An unchanged lease table is published again every second instead of every 250 ms. The stand-ins read answers to their end, so that their connections are used again. fleet.sh takes BINARY, to measure two builds at the same time. Limits: silence and expiry are noticed as before (ticks of 100 ms as soon as something may be silent); a lease holder ticks every 25 ms unless its lease lasts beyond the next quiet tick.

--- a/examples/measure/fleet.sh
+++ b/examples/measure/fleet.sh
@@ -3,7 +3,9 @@
 # Usage, in the root of the repository:
 #   examples/measure/fleet.sh INSTANCES SERVERS RATE [SECONDS [SEED]]
 # SERVERS is a multiple of 15: 12 engines and 3 booking services for each 15. RATE 0 measures
-# the fleet at rest. The processor time of the stand-ins and of the load is not counted.
+# the fleet at rest. The processor time of the stand-ins and of the load is not counted. NET is
+# the network of the addresses. BINARY measures the instances of another build, for example of an
+# earlier commit; two runs with different networks at the same time compare under equal conditions.
 set -euo pipefail
 instances=$1 servers=$2 rate=$3 seconds=${4:-15} seed=${5:-1}
 NET=${NET:-127.40.100}
@@ -25,7 +27,7 @@
   ((n > voters)) || folder=$FLEET/data-$n
   BRIARYARD_ID=instance-$n BRIARYARD_FAILURE_DOMAIN=domain-$((n % 3 + 1)) BRIARYARD_DATA_FOLDER=$folder \
   BRIARYARD_CALLER_ADDRESS=$NET.$n:8080 BRIARYARD_SERVER_ADDRESS=$NET.$n:8081 \
-  BRIARYARD_OPERATOR_ADDRESS=$NET.$n:8082 BRIARYARD_PEER_ADDRESS=$NET.$n:8083 briaryard serve 2>>"$FLEET/log" &
+  BRIARYARD_OPERATOR_ADDRESS=$NET.$n:8082 BRIARYARD_PEER_ADDRESS=$NET.$n:8083 "${BINARY:-briaryard}" serve 2>>"$FLEET/log" &
   pids[n]=$!
 done
 kinds=(notes notes chat summaries booking)
--- a/internal/decide/controlcall/heartbeat.go
+++ b/internal/decide/controlcall/heartbeat.go
@@ -115,12 +115,30 @@
 
 // interval returns the time between heartbeats, which is shorter while a lease is held.
 func (m *Machine) interval() time.Duration {
-	if slices.ContainsFunc(m.table(), m.mine) {
-		return m.options.HolderInterval
+	for _, l := range m.beats.leases {
+		if m.mine(l) {
+			return m.options.HolderInterval
+		}
 	}
 	return m.options.HeartbeatInterval
 }
 
+// Quiet reports that no command waits, the leader is known and has confirmed the configuration,
+// and every lease held here lasts beyond the next quiet tick: then nothing but the next
+// heartbeat needs a tick.
+func (m *Machine) Quiet(now time.Time) bool {
+	b := &m.beats
+	if len(m.calls) > 0 || !m.leader || !b.confirmedNow || b.releasing {
+		return false
+	}
+	for _, l := range b.leases {
+		if m.mine(l) && !m.acting(now.Add(QuietTick+Tick), l) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Machine) beat(now time.Time) {
 	b := &m.beats
 	b.sentAt = now
@@ -139,7 +157,8 @@
 
 func (m *Machine) tickBeats(now time.Time) {
 	b := &m.beats
-	if now.Sub(b.sentAt) >= m.interval() {
+	// A tick that comes a little early must not delay the heartbeat by a whole tick.
+	if now.Sub(b.sentAt) >= m.interval()-Tick/2 {
 		m.beat(now)
 	}
 	m.publishLeases(now)
@@ -219,8 +238,10 @@
 	}
 }
 
-// publishLeases publishes the table when it has changed, and once in each heartbeat interval
-// in case a subscriber's ring was full.
+// republishEvery is how often the table is published again in case a subscriber's ring was full.
+const republishEvery = time.Second
+
+// publishLeases publishes the table when it has changed, and again from time to time.
 func (m *Machine) publishLeases(now time.Time) {
 	b := &m.beats
 	var table []Lease
@@ -235,7 +256,7 @@
 		}
 		table = append(table, held)
 	}
-	if slices.Equal(table, b.published) && now.Sub(b.publishedAt) < m.options.HeartbeatInterval {
+	if slices.Equal(table, b.published) && now.Sub(b.publishedAt) < republishEvery {
 		return
 	}
 	b.published, b.publishedAt = table, now
--- a/internal/decide/controlcall/machine.go
+++ b/internal/decide/controlcall/machine.go
@@ -14,6 +14,10 @@
 // early, so that it is never published after its time.
 const Tick = 25 * time.Millisecond
 
+// QuietTick is the interval while the machine is quiet: a heartbeat interval with a lease, and
+// half of one without.
+const QuietTick = 125 * time.Millisecond
+
 const (
 	// commandTimeout is the time after which a keyed request is answered may_have_run.
 	commandTimeout = 2 * time.Second
--- a/internal/decide/dispatch/reconcile.go
+++ b/internal/decide/dispatch/reconcile.go
@@ -50,6 +50,9 @@
 	p.drop(r)
 }
 
+// Empty reports that the pool knows no request.
+func (p *Pool) Empty() bool { return len(p.requests) == 0 }
+
 // Sequence returns the number of the last grant to an instance.
 func (p *Pool) Sequence(id model.InstanceID) uint64 { return p.sequences[id] }
 
--- a/internal/decide/entry/machine.go
+++ b/internal/decide/entry/machine.go
@@ -141,6 +141,9 @@
 // Waiting returns the number of requests of each tier that have not been dispatched.
 func (m *Machine) Waiting() [model.TierCount]int { return m.waitingTier }
 
+// Idle reports that there is no request, so that no time limit runs.
+func (m *Machine) Idle() bool { return len(m.requests) == 0 }
+
 // Drain refuses new requests from now on. Drained follows when no request is left.
 func (m *Machine) Drain() []Effect {
 	m.stopping = true
--- a/internal/decide/member/digest.go
+++ b/internal/decide/member/digest.go
@@ -6,10 +6,13 @@
 	"briaryard/internal/model"
 )
 
+// digestSlack keeps a tick that comes a little early from delaying the digest by a whole tick.
+const digestSlack = 50 * time.Millisecond
+
 // sendDigest sends a digest to the next connected instance. Going round reaches every
 // instance, and the instances do not start in step with each other.
 func (m *Machine) sendDigest(now time.Time) {
-	if now.Sub(m.digestAt) < DigestEvery {
+	if now.Sub(m.digestAt) < DigestEvery-digestSlack {
 		return
 	}
 	m.digestAt = now
--- a/internal/decide/member/liveness.go
+++ b/internal/decide/member/liveness.go
@@ -137,6 +137,29 @@
 	}
 }
 
+// quietWithin is how long ago a backend server at home here may have been heard for it not to
+// become suspect before the tick after the next, at 250 ms between ticks.
+const quietWithin = SuspectAfter - 600*time.Millisecond
+
+// Quiet reports that no limit of silence can be reached soon.
+func (m *Machine) Quiet(now time.Time) bool {
+	if !m.settled || now.Before(m.holdUntil) {
+		return false
+	}
+	for _, i := range m.instances {
+		if i.judged != model.Gone && (!i.up || i.silent) {
+			return false
+		}
+	}
+	for _, s := range m.servers {
+		own := s.record.Home == m.self.ID && s.record.State != model.Gone
+		if own && now.Sub(s.heard) >= quietWithin || !s.orphaned.IsZero() && !s.lost {
+			return false
+		}
+	}
+	return true
+}
+
 // restore takes backend servers back whose home has come back. It does so also while nothing
 // expires.
 func (m *Machine) restore() {
--- a/internal/kernel/duty.go
+++ b/internal/kernel/duty.go
@@ -113,22 +113,23 @@
 	Tick   time.Duration
 	Handle func(now time.Time, message T)
 	OnTick func(now time.Time)
+	// Quiet, if set, reports that no time limit of the resolution of Tick is running. Ticks
+	// then come at QuietTick. A wakeup of an idle process costs about 25 us of processor time,
+	// so ticks are most of what an idle duty costs.
+	Quiet     func() bool
+	QuietTick time.Duration
 }
 
 // Run handles messages until the context ends or the ring is closed and empty.
 func (l Loop[T]) Run(ctx context.Context, d *Duty) {
-	var ticks <-chan time.Time
-	if l.Tick > 0 {
-		ticker := time.NewTicker(l.Tick)
-		defer ticker.Stop()
-		ticks = ticker.C
-	}
+	t := l.newTicks()
+	defer t.stop()
 	for {
 		// A tick is taken even when the ring never runs empty, so that timeouts still
 		// fire under load.
 		select {
-		case now := <-ticks:
-			l.OnTick(now)
+		case now := <-t.c:
+			l.tick(now, &t)
 		default:
 		}
 		if m, ok := l.Ring.TryGet(); ok {
@@ -136,14 +137,15 @@
 			d.Touch(now)
 			l.Handle(now, m)
 			if ctx.Err() == nil {
+				t.wake(l)
 				continue
 			}
 			return
 		}
 		select {
 		case <-l.Ring.Ready():
-		case now := <-ticks:
-			l.OnTick(now)
+		case now := <-t.c:
+			l.tick(now, &t)
 		case <-l.Ring.Done():
 			if l.Ring.Stats().Depth == 0 {
 				return
@@ -153,3 +155,53 @@
 		}
 	}
 }
+
+func (l Loop[T]) quiet() bool { return l.Quiet != nil && l.Quiet() }
+
+func (l Loop[T]) tick(now time.Time, t *ticks[T]) {
+	l.OnTick(now)
+	t.settle(l)
+}
+
+// ticks is the ticker of a loop. It slows down only after a tick, so that a duty which is
+// quiet between any two messages still has its ticks.
+type ticks[T any] struct {
+	ticker *time.Ticker
+	c      <-chan time.Time
+	slow   bool
+}
+
+func (l Loop[T]) newTicks() ticks[T] {
+	if l.Tick <= 0 {
+		return ticks[T]{}
+	}
+	ticker := time.NewTicker(l.Tick)
+	return ticks[T]{ticker: ticker, c: ticker.C}
+}
+
+func (t *ticks[T]) stop() {
+	if t.ticker != nil {
+		t.ticker.Stop()
+	}
+}
+
+// wake returns to the usual interval when a message has ended the quiet.
+func (t *ticks[T]) wake(l Loop[T]) {
+	if t.slow && !l.quiet() {
+		t.slow = false
+		t.ticker.Reset(l.Tick)
+	}
+}
+
+// settle chooses the interval after a tick.
+func (t *ticks[T]) settle(l Loop[T]) {
+	switch slow := l.quiet(); {
+	case slow == t.slow:
+	case slow:
+		t.slow = true
+		t.ticker.Reset(l.QuietTick)
+	default:
+		t.slow = false
+		t.ticker.Reset(l.Tick)
+	}
+}
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -111,7 +111,10 @@
 		Lease: session.Options{LeaseDuration: port.LeaseDuration, DriftPercent: port.MaxClockDrift},
 	})
 	r.onTick(now)
-	kernel.Loop[remoteMessage]{Ring: r.ring, Tick: controlcall.Tick, Handle: r.handle, OnTick: r.onTick}.Run(ctx, d)
+	kernel.Loop[remoteMessage]{
+		Ring: r.ring, Tick: controlcall.Tick, Handle: r.handle, OnTick: r.onTick,
+		Quiet: func() bool { return r.machine.Quiet(time.Now()) }, QuietTick: controlcall.QuietTick,
+	}.Run(ctx, d)
 	for {
 		m, ok := r.ring.TryGet()
 		if !ok {
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -16,6 +16,8 @@
 	ringCapacity = 8192
 	// tick is how often undelivered events and lost registrations are tried again.
 	tick = 100 * time.Millisecond
+	// quietTick is the interval while there is nothing to try again.
+	quietTick = time.Second
 )
 
 type message interface{ message() }
@@ -122,7 +124,7 @@
 // Start implements kernel.Service.
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("dispatch", kernel.Loop[message]{
-		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, Quiet: s.quiet, QuietTick: quietTick,
 	}.Run, s.ring)
 	return nil
 }
@@ -183,6 +185,16 @@
 	}
 }
 
+// quiet reports that there is nothing to try again.
+func (s *Service) quiet() bool {
+	for _, r := range s.routes {
+		if r.stale {
+			return false
+		}
+	}
+	return s.entry.Pending() == 0
+}
+
 // send passes a message to a pool's dispatcher. If it cannot be queued, the state is sent
 // again later.
 func (s *Service) send(pool model.PoolID, body any) {
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -18,6 +18,8 @@
 	ringCapacity = 8192
 	// tick is the resolution of deadlines and of adaptive windows.
 	tick = 20 * time.Millisecond
+	// quietTick is the interval while no pool has a request; comparisons need it.
+	quietTick = 500 * time.Millisecond
 	// askAgain is how long an instance has to answer a request for its state.
 	askAgain = time.Second
 	// compareEvery is how often each instance compares its requests with those known here. It
@@ -138,7 +140,7 @@
 // Start implements kernel.Service.
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("dispatcher", kernel.Loop[message]{
-		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, Quiet: s.quiet, QuietTick: quietTick,
 	}.Run, s.ring)
 	return nil
 }
@@ -189,16 +191,32 @@
 	s.perform(now)
 }
 
+// quiet reports that no decision waits for the next tick.
+func (s *Service) quiet() bool {
+	for _, p := range s.pools {
+		if !p.ready || !p.decide.Empty() {
+			return false
+		}
+	}
+	return len(s.outbox.pending) == 0
+}
+
 // compare asks the instances in turn whether their requests are those known here.
 func (s *Service) compare(now time.Time, id model.PoolID, p *pool) {
 	n := len(s.view.Instances)
-	if !p.ready || n == 0 || now.Sub(p.compared) < compareEvery/time.Duration(n) {
+	if !p.ready || n == 0 {
+		return
+	}
+	due := min(int(now.Sub(p.compared)*time.Duration(n)/compareEvery), n)
+	if due == 0 {
 		return
 	}
 	p.compared = now
-	p.next = (p.next + 1) % n
-	if i := s.view.Instances[p.next]; i.State != model.Gone {
-		s.wants = append(s.wants, want{to: i.ID, pool: id, compare: true})
+	for range due {
+		p.next = (p.next + 1) % n
+		if i := s.view.Instances[p.next]; i.State != model.Gone {
+			s.wants = append(s.wants, want{to: i.ID, pool: id, compare: true})
+		}
 	}
 }
 
@@ -234,7 +252,7 @@
 			expected = append(expected, i.ID)
 		}
 	}
-	p := &pool{decide: decide.NewPool(id, epoch, expected), epoch: epoch, began: now}
+	p := &pool{decide: decide.NewPool(id, epoch, expected), epoch: epoch, began: now, compared: now}
 	s.pools[id] = p
 	s.log.Emit(event.DispatcherStarted, id, epoch)
 	p.decide.SetConfig(now, s.config)
--- a/internal/service/entry/service.go
+++ b/internal/service/entry/service.go
@@ -25,6 +25,8 @@
 	reserved = ringCapacity / 4
 	// tick is the resolution of deadlines while a request waits.
 	tick = 50 * time.Millisecond
+	// quietTick is the interval of the gauges while no request waits.
+	quietTick = 500 * time.Millisecond
 )
 
 // grantMark names a grant by its dispatcher's epoch and its number.
@@ -111,6 +113,7 @@
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("entry", kernel.Loop[message]{
 		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+		Quiet: func() bool { return s.machine.Idle() }, QuietTick: quietTick,
 	}.Run, s.ring)
 	return nil
 }
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -17,6 +17,9 @@
 const (
 	ringCapacity = 4096
 	tick         = 100 * time.Millisecond
+	// quietTick is the interval while nothing is silent. It is well below the gap that counts
+	// as a pause of this instance.
+	quietTick = 250 * time.Millisecond
 	// listEvery repeats the list of instances for the peers service, which may have had no
 	// room for it.
 	listEvery = 10
@@ -87,7 +90,8 @@
 	h.Go("members", func(ctx context.Context, d *kernel.Duty) {
 		s.machine = member.New(time.Now(), s.self, s.links.Alone())
 		s.perform()
-		kernel.Loop[message]{Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick}.Run(ctx, d)
+		kernel.Loop[message]{Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+			Quiet: func() bool { return s.machine.Quiet(time.Now()) }, QuietTick: quietTick}.Run(ctx, d)
 	}, s.ring)
 	return nil
 }
--- a/internal/service/peers/conn.go
+++ b/internal/service/peers/conn.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// heartbeatInterval is the longest time without a frame on a working connection.
+	// heartbeatInterval is the time between the heartbeats of a connection.
 	heartbeatInterval = 500 * time.Millisecond
+	// recentWrite replaces a heartbeat. With it a connection carries a frame at least every
+	// 700 ms.
+	recentWrite = 200 * time.Millisecond
 	// suspectAfter is reported to the membership; three heartbeats may be late.
 	suspectAfter = 1500 * time.Millisecond
 	// silentAfter closes a connection: the network may have dropped it without a reset.
--- a/internal/service/peers/doc.go
+++ b/internal/service/peers/doc.go
@@ -6,6 +6,9 @@
 // again on a fresh connection; the receiver drops repeats. The service never interprets a
 // message, never blocks a sender, and never delivers a message of an earlier incarnation.
 //
+// Messages that are lost because the numbering began again are reported as port.PeerReset; the
+// services that cannot do without them compare their state then.
+//
 // When a connection breaks or stays silent it is closed and replaced. While there is none,
 // messages wait in the link's ring, and Send refuses when the ring is full. When a
 // receiving service has no room, the connection is closed without acknowledgement, so that
--- a/internal/service/peers/link.go
+++ b/internal/service/peers/link.go
@@ -19,8 +19,10 @@
 	windowBytes    = 16 << 20
 	// batchBytes is how much is encoded before a write.
 	batchBytes = 64 << 10
-	// ackEvery is how many messages may arrive before an acknowledgement is sent at once.
+	// ackEvery and ackBytes are how much may arrive before an acknowledgement is sent at once.
+	// Otherwise it goes with the next frame, at the latest with the next heartbeat.
 	ackEvery = 64
+	ackBytes = windowBytes / 16
 )
 
 // outgoing is a message that waits to be sent.
@@ -62,6 +64,8 @@
 	sendConns *ring.Ring[*conn]
 	recvConns *ring.Ring[*conn]
 	progress  *ring.Ring[progress]
+	// ackDue wakes the sending duty for an acknowledgement. Progress alone does not wake it.
+	ackDue *ring.Ring[struct{}]
 	// incarnation is the latest one; the "peers" duty sets it, senders read it.
 	incarnation atomic.Uint64
 	duties      []*kernel.Duty
@@ -75,6 +79,7 @@
 		sendConns: ring.New[*conn]("peer-connection/"+name, 1, ring.ReplaceOldest),
 		recvConns: ring.New[*conn]("peer-connection/"+name, 1, ring.ReplaceOldest),
 		progress:  ring.New[progress]("peer-progress/"+name, 1, ring.ReplaceOldest),
+		ackDue:    ring.New[struct{}]("peer-ack/"+name, 1, ring.ReplaceOldest),
 	}
 	l.duties = []*kernel.Duty{
 		s.host.Go("peer-send/"+name, func(ctx context.Context, d *kernel.Duty) { (&sender{link: l}).run(ctx, d) }, l.out),
@@ -116,14 +121,17 @@
 
 // sender is the sending duty of a link. It owns the window.
 type sender struct {
-	link      *link
-	conn      *conn
-	of        numbering
-	nextID    uint64
-	window    []pending
-	bytes     int
-	received  uint64
-	reported  uint64
+	link     *link
+	conn     *conn
+	of       numbering
+	nextID   uint64
+	window   []pending
+	bytes    int
+	received uint64
+	reported uint64
+	// early is progress on a connection that the receiving duty uses already and this one does
+	// not.
+	early     progress
 	lastWrite time.Time
 	held      outgoing
 	isHeld    bool
@@ -131,26 +139,32 @@
 }
 
 func (s *sender) run(ctx context.Context, d *kernel.Duty) {
-	ticker := time.NewTicker(heartbeatInterval / 2)
-	defer ticker.Stop()
+	timer := time.NewTimer(s.link.service.untilHeartbeat(time.Now()))
+	defer timer.Stop()
 	for {
-		var messages <-chan struct{}
-		if s.conn != nil && s.room() {
+		s.takeProgress()
+		var messages, progress <-chan struct{}
+		switch {
+		case s.conn == nil:
+		case s.room():
 			messages = s.link.out.Ready()
+		default:
+			progress = s.link.progress.Ready()
 		}
 		select {
 		case <-s.link.sendConns.Ready():
 			if c, ok := s.link.sendConns.TryGet(); ok {
 				s.connect(c)
 			}
-		case <-s.link.progress.Ready():
-			if p, ok := s.link.progress.TryGet(); ok {
-				s.progressed(p)
-			}
+		case <-progress:
+		case <-s.link.ackDue.Ready():
+			_, _ = s.link.ackDue.TryGet()
+			s.acknowledge()
 		case <-messages:
 			s.sendQueued()
-		case <-ticker.C:
+		case <-timer.C:
 			s.heartbeat()
+			timer.Reset(s.link.service.untilHeartbeat(time.Now()))
 		case <-s.link.sendConns.Done():
 			return
 		case <-ctx.Done():
@@ -171,6 +185,7 @@
 		s.of = of
 		s.nextID, s.window, s.bytes = 0, nil, 0
 		s.received, s.reported = 0, 0
+		s.progressed(s.early)
 	}
 	for _, p := range s.window {
 		s.encode(p)
@@ -184,6 +199,7 @@
 
 func (s *sender) progressed(p progress) {
 	if p.of != s.of {
+		s.early = p
 		return
 	}
 	s.received = p.received
@@ -191,7 +207,19 @@
 		s.bytes -= len(s.window[0].message.body)
 		s.window = s.window[1:]
 	}
-	if s.received-s.reported >= ackEvery {
+}
+
+// takeProgress learns what the receiving duty has seen since the last wakeup.
+func (s *sender) takeProgress() {
+	if p, ok := s.link.progress.TryGet(); ok {
+		s.progressed(p)
+	}
+}
+
+// acknowledge sends an acknowledgement if one is due.
+func (s *sender) acknowledge() {
+	s.takeProgress()
+	if s.conn != nil && s.reported != s.received {
 		s.appendAck()
 		s.flush()
 	}
@@ -199,6 +227,7 @@
 
 // sendQueued sends what waits in the ring as far as the window has room.
 func (s *sender) sendQueued() {
+	s.takeProgress()
 	for s.conn != nil && s.room() {
 		m, ok := s.next()
 		if !ok {
@@ -255,18 +284,25 @@
 
 func (s *sender) appendAck() { s.append(&peerpb.Frame{Acknowledged: s.received}) }
 
-// heartbeat writes a frame when the connection has been idle, or when an acknowledgement
-// is due.
+// heartbeat writes a frame unless a message has just been sent, or when an acknowledgement is
+// due.
 func (s *sender) heartbeat() {
+	s.takeProgress()
 	if s.conn == nil {
 		return
 	}
-	if s.reported != s.received || time.Since(s.lastWrite) >= heartbeatInterval-heartbeatInterval/10 {
+	if s.reported != s.received || time.Since(s.lastWrite) >= recentWrite {
 		s.appendAck()
 		s.flush()
 	}
 }
 
+// untilHeartbeat returns the time until the next heartbeat. The links of this instance send
+// theirs at the same time, so that the process is woken once for all of them.
+func (s *Service) untilHeartbeat(now time.Time) time.Duration {
+	return heartbeatInterval - now.Sub(s.began)%heartbeatInterval
+}
+
 func (s *sender) flush() {
 	if s.conn == nil || len(s.buf) == 0 {
 		return
--- a/internal/service/peers/receive.go
+++ b/internal/service/peers/receive.go
@@ -31,6 +31,9 @@
 	link *link
 	// progress is of the incarnation whose messages arrive.
 	progress progress
+	// unreported and unreportedBytes count what has arrived since ackDue was last set.
+	unreported      int
+	unreportedBytes int
 }
 
 func (r *receiver) run(ctx context.Context, d *kernel.Duty) {
@@ -94,6 +97,10 @@
 	if news {
 		_ = r.link.progress.Offer(r.progress)
 	}
+	if r.unreported >= ackEvery || r.unreportedBytes >= ackBytes {
+		r.unreported, r.unreportedBytes = 0, 0
+		_ = r.link.ackDue.Offer(struct{}{})
+	}
 	return nil
 }
 
@@ -109,6 +116,8 @@
 		return err
 	}
 	r.progress.received = m.GetId()
+	r.unreported++
+	r.unreportedBytes += len(m.GetBody())
 	return nil
 }
 
--- a/internal/service/peers/reset_test.go
+++ b/internal/service/peers/reset_test.go
@@ -41,3 +41,14 @@
 	startNode(t, "b", 2, "secret", l2, "", toA.Address())
 	eventually(t, "report of the loss", func() bool { return a.count(port.PeerReset) >= 2 })
 }
+
+// Guards against loss, repetition and a stall when far more is sent than the window holds.
+func TestFullWindowMovesOn(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	a := startNode(t, "a", 1, "secret", la, "")
+	b := startNode(t, "b", 1, "secret", lb, "", la.Addr().String())
+	eventually(t, "connection", func() bool { return a.count(port.PeerUp) > 0 })
+	const messages = 20_000
+	a.sendAll(t, "b", 0, messages)
+	wantSequence(t, b, messages)
+}
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,7 @@
 type Service struct {
 	options     Options
 	log         *event.Log
+	began       time.Time
 	host        *kernel.Host
 	ring        *ring.Ring[message]
 	listener    net.Listener
@@ -69,7 +71,7 @@
 // New returns the service.
 func New(log *event.Log, o Options) *Service {
 	s := &Service{
-		options: o, log: log,
+		options: o, log: log, began: time.Now(),
 		ring:     ring.New[message]("peers", ringCapacity, ring.Block),
 		handlers: make(map[string]handler),
 	}
@@ -262,6 +264,10 @@
 	}
 }
 
+func (o outboxes) pending() bool {
+	return slices.ContainsFunc(o, func(b *ring.Outbox[port.PeerStatus]) bool { return b.Pending() > 0 })
+}
+
 func isFull(err error) bool {
 	_, full := err.(*ring.FullError)
 	return full
--- a/internal/service/peers/table.go
+++ b/internal/service/peers/table.go
@@ -13,6 +13,8 @@
 
 const (
 	tick = 100 * time.Millisecond
+	// quietTick is the interval while every connection is open.
+	quietTick = time.Second
 	// minRedial and maxRedial bound the pause between attempts to reach an instance.
 	minRedial = 100 * time.Millisecond
 	maxRedial = 2 * time.Second
@@ -119,7 +121,9 @@
 }
 
 func (t *table) run(ctx context.Context, d *kernel.Duty) {
-	kernel.Loop[message]{Ring: t.service.ring, Tick: tick, Handle: t.handle, OnTick: t.onTick}.Run(ctx, d)
+	kernel.Loop[message]{
+		Ring: t.service.ring, Tick: tick, Handle: t.handle, OnTick: t.onTick, Quiet: t.quiet, QuietTick: quietTick,
+	}.Run(ctx, d)
 }
 
 func (t *table) onTick(now time.Time) {
@@ -127,6 +131,21 @@
 	t.dialDue(now)
 }
 
+// quiet reports that there is nothing to dial and no report to repeat.
+func (t *table) quiet() bool {
+	for _, p := range t.peers {
+		if p.conn == nil && p.address != "" {
+			return false
+		}
+	}
+	for _, id := range t.seeds {
+		if p := t.peers[id]; id != t.service.options.Self.ID && (p == nil || p.conn == nil) {
+			return false
+		}
+	}
+	return !t.service.statuses.pending()
+}
+
 // arrived decides about a connection that another instance opened.
 func (t *table) arrived(a arrived) {
 	reason, known := t.judge(a.conn)
--- a/internal/service/transfer/service.go
+++ b/internal/service/transfer/service.go
@@ -18,6 +18,8 @@
 	ringCapacity = 8192
 	// tick is how often callers with a full ring are tried again.
 	tick = 50 * time.Millisecond
+	// quietTick is the interval while there is nothing to try again.
+	quietTick = time.Second
 	// slowCaller is how long a caller's ring may stay full before the caller is detached.
 	slowCaller = 10 * time.Second
 	// maxKept bounds a kept answer in memory; a longer one is not kept for later attempts.
@@ -93,6 +95,7 @@
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("transfer", kernel.Loop[message]{
 		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+		Quiet: func() bool { return len(s.calls) == 0 && s.outbox.Pending() == 0 }, QuietTick: quietTick,
 	}.Run, s.ring)
 	return nil
 }
--- a/internal/standin/announce/announce.go
+++ b/internal/standin/announce/announce.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +15,8 @@
 const (
 	interval = 500 * time.Millisecond
 	timeout  = time.Second
+	// maxReply bounds what is read of an answer.
+	maxReply = 4 << 10
 )
 
 // Run announces to the first instance that answers, and from then on to that one until it
@@ -66,6 +69,8 @@
 	if err != nil {
 		return 0
 	}
+	// A connection whose answer was not read to its end is not used again.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReply))
 	_ = response.Body.Close()
 	return response.StatusCode
 }
