--- a/internal/decide/controlcall/heartbeat.go
+++ b/internal/decide/controlcall/heartbeat.go
@@ -119,12 +119,30 @@
 
 // interval returns the time between heartbeats, which is shorter while a lease is held.
 func (m *Machine) interval() time.Duration {
-	if slices.ContainsFunc(m.table(), m.mine) {
-		return m.options.HolderInterval
+	for _, l := range m.beats.leases {
+		if m.mine(l) {
+			return m.options.HolderInterval
+		}
 	}
 	return m.options.HeartbeatInterval
 }
 
+// Quiet reports that no command waits, the leader is known and has confirmed the configuration,
+// and every lease held here lasts beyond the next quiet tick: then nothing but the next
+// heartbeat needs a tick.
+func (m *Machine) Quiet(now time.Time) bool {
+	b := &m.beats
+	if len(m.calls) > 0 || !m.leader || !b.confirmedNow || b.releasing {
+		return false
+	}
+	for _, l := range b.leases {
+		if m.mine(l) && !m.acting(now.Add(QuietTick+Tick), l) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Machine) beat(now time.Time) {
 	b := &m.beats
 	b.sentAt = now
@@ -143,7 +161,8 @@
 
 func (m *Machine) tickBeats(now time.Time) {
 	b := &m.beats
-	if now.Sub(b.sentAt) >= m.interval() {
+	// A tick that comes a little early must not delay the heartbeat by a whole tick.
+	if now.Sub(b.sentAt) >= m.interval()-Tick/2 {
 		m.beat(now)
 	}
 	m.publishLeases(now)
@@ -223,8 +242,10 @@
 	}
 }
 
-// publishLeases publishes the table when it has changed, and once in each heartbeat interval
-// in case a subscriber's ring was full.
+// republishEvery is how often the table is published again in case a subscriber's ring was full.
+const republishEvery = time.Second
+
+// publishLeases publishes the table when it has changed, and again from time to time.
 func (m *Machine) publishLeases(now time.Time) {
 	b := &m.beats
 	var table []Lease
@@ -241,13 +262,22 @@
 		}
 		table = append(table, held)
 	}
-	if slices.EqualFunc(table, b.published, Lease.sameHolder) && now.Sub(b.publishedAt) < m.options.HeartbeatInterval {
+	if slices.EqualFunc(table, b.published, Lease.sameHolder) && now.Sub(b.publishedAt) < m.republishAfter(table) {
 		return
 	}
 	b.published, b.publishedAt = table, now
 	m.emit(PublishLeases{Leases: slices.Clone(table)})
 }
 
+// republishAfter returns how long an unchanged table is not published again. The end of a
+// lease that is held here moves with each heartbeat.
+func (m *Machine) republishAfter(table []Lease) time.Duration {
+	if slices.ContainsFunc(table, func(l Lease) bool { return !l.Until.IsZero() }) {
+		return m.options.HeartbeatInterval
+	}
+	return republishEvery
+}
+
 // table returns the known leases by name.
 func (m *Machine) table() []state.Lease {
 	return slices.SortedFunc(maps.Values(m.beats.leases), func(a, b state.Lease) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/decide/member/liveness.go
+++ b/internal/decide/member/liveness.go
@@ -13,12 +13,19 @@
 	if i == nil || r.Incarnation < i.record.Incarnation {
 		return
 	}
+	if m.isolated {
+		// The others may have adopted the backend servers that were not heard here.
+		m.isolated = false
+		m.hold(now, "this instance was cut off from all others")
+	}
 	i.up, i.silent, i.heard = true, false, now
 	m.judge(i, model.Alive, "connected")
 	if !m.settled {
 		m.sends = append(m.sends, Send{To: r.ID, Body: Want{Whole: true}})
 	}
-	m.sends = append(m.sends, Send{To: r.ID, Body: Records{Instances: []model.Instance{m.self}}})
+	// Changes that were lost with an earlier connection are made up for at once.
+	m.sends = append(m.sends, Send{To: r.ID, Body: Records{Instances: []model.Instance{m.self}}},
+		Send{To: r.ID, Body: Digest{Buckets: m.digest()}})
 }
 
 // PeerHeard reports that a silent connection carries data again.
@@ -37,8 +44,9 @@
 		return
 	}
 	i.silent, i.heard = true, heard
-	if down {
+	if down && i.up {
 		i.up = false
+		m.isolated = len(m.Connected()) == 0
 	}
 	m.detectCutOff(now)
 }
@@ -78,6 +86,7 @@
 		m.settled, m.changed = true, true
 	}
 	m.forget(now)
+	m.restore()
 	if now.Before(m.holdUntil) {
 		return
 	}
@@ -114,9 +123,6 @@
 	}
 	home := m.instances[s.record.Home]
 	switch gone := home == nil || home.judged == model.Gone; {
-	case !gone && !s.orphaned.IsZero():
-		s.orphaned, s.lost = time.Time{}, false
-		m.changed = true
 	case gone && s.orphaned.IsZero():
 		s.orphaned = now
 		m.changed = true
@@ -131,10 +137,50 @@
 	}
 }
 
+// quietWithin is how long ago a backend server at home here may have been heard for it not to
+// become suspect before the tick after the next, at 250 ms between ticks.
+const quietWithin = SuspectAfter - 600*time.Millisecond
+
+// Quiet reports that no limit of silence can be reached soon.
+func (m *Machine) Quiet(now time.Time) bool {
+	if !m.settled || now.Before(m.holdUntil) {
+		return false
+	}
+	for _, i := range m.instances {
+		if i.judged != model.Gone && (!i.up || i.silent) {
+			return false
+		}
+	}
+	for _, s := range m.servers {
+		own := s.record.Home == m.self.ID && s.record.State != model.Gone
+		if own && now.Sub(s.heard) >= quietWithin || !s.orphaned.IsZero() && !s.lost {
+			return false
+		}
+	}
+	return true
+}
+
+// restore takes backend servers back whose home has come back. It does so also while nothing
+// expires.
+func (m *Machine) restore() {
+	for _, s := range m.servers {
+		if s.orphaned.IsZero() || s.record.Home == m.self.ID {
+			continue
+		}
+		if home := m.instances[s.record.Home]; home != nil && home.judged != model.Gone {
+			s.orphaned, s.lost = time.Time{}, false
+			m.changed = true
+		}
+	}
+}
+
 // expireOwn judges a backend server whose home is this instance.
 func (m *Machine) expireOwn(now time.Time, s *server) {
 	r := s.record
 	switch silence := now.Sub(s.heard); {
+	case silence >= GoneAfter && m.isolated:
+		m.loseOwn(now, s)
+		return
 	case silence >= GoneAfter:
 		r.State = model.Gone
 	case silence >= SuspectAfter && r.State == model.Alive:
@@ -147,6 +193,20 @@
 	m.flood.Servers = append(m.flood.Servers, r)
 }
 
+// loseOwn judges a backend server while no other instance can be reached. Another one may have
+// adopted it, so its record, in which gone would be final, stays as it is.
+func (m *Machine) loseOwn(now time.Time, s *server) {
+	if s.lost {
+		return
+	}
+	s.lost, s.orphaned = true, now
+	m.changed = true
+	m.changes = append(m.changes, Change{
+		Server: s.record.ID, Incarnation: s.record.Incarnation, State: model.Gone,
+		Reason: "no heartbeat, and this instance is cut off from all others",
+	})
+}
+
 // forget drops members that have been gone for long.
 func (m *Machine) forget(now time.Time) {
 	for id, i := range m.instances {
--- a/internal/service/dispatch/service.go
+++ b/internal/service/dispatch/service.go
@@ -16,6 +16,8 @@
 	ringCapacity = 8192
 	// tick is how often undelivered events and lost registrations are tried again.
 	tick = 100 * time.Millisecond
+	// quietTick is the interval while there is nothing to try again.
+	quietTick = time.Second
 )
 
 type message interface{ message() }
@@ -55,11 +57,14 @@
 
 // Service routes between the entry service and dispatchers.
 type Service struct {
-	log    *event.Log
-	ring   *ring.Ring[message]
-	peers  port.Peers
-	events *ring.Outbox[port.DispatchEvent]
-	states *ring.Outbox[model.PoolID]
+	log   *event.Log
+	ring  *ring.Ring[message]
+	peers port.Peers
+	// sinks take what the entry service receives; entry keeps their order, because a request
+	// for state names the last grant before it.
+	events func(port.DispatchEvent) error
+	states func(port.StateRequest) error
+	entry  *ring.Outbox[any]
 
 	// routes belongs to the dispatch duty.
 	routes map[model.PoolID]*route
@@ -67,11 +72,24 @@
 
 // New returns the service.
 func New(log *event.Log) *Service {
-	return &Service{
+	s := &Service{
 		log:    log,
 		ring:   ring.New[message]("dispatch", ringCapacity, ring.Block),
 		routes: make(map[model.PoolID]*route),
 	}
+	s.entry = ring.NewOutbox(s.toEntry)
+	return s
+}
+
+// toEntry gives a decision or a request for state to the entry service.
+func (s *Service) toEntry(m any) error {
+	switch m := m.(type) {
+	case port.DispatchEvent:
+		return s.events(m)
+	case port.StateRequest:
+		return s.states(m)
+	}
+	return nil
 }
 
 // Name implements kernel.Service.
@@ -106,7 +124,7 @@
 // Start implements kernel.Service.
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("dispatch", kernel.Loop[message]{
-		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, Quiet: s.quiet, QuietTick: quietTick,
 	}.Run, s.ring)
 	return nil
 }
@@ -120,10 +138,10 @@
 func (s *Service) put(m message) { _ = s.ring.Put(context.Background(), m) }
 
 // Attach implements port.Dispatch.
-func (s *Service) Attach(sink func(port.DispatchEvent) error) { s.events = ring.NewOutbox(sink) }
+func (s *Service) Attach(sink func(port.DispatchEvent) error) { s.events = sink }
 
 // AttachState implements port.Dispatch.
-func (s *Service) AttachState(request func(model.PoolID) error) { s.states = ring.NewOutbox(request) }
+func (s *Service) AttachState(request func(port.StateRequest) error) { s.states = request }
 
 // Register implements port.Dispatch.
 func (s *Service) Register(d model.Descriptor) { s.put(register{d}) }
@@ -138,8 +156,7 @@
 func (s *Service) Resync(st port.EntryState) { s.put(resync{st}) }
 
 func (s *Service) handle(_ time.Time, m message) {
-	s.events.Flush()
-	s.states.Flush()
+	s.entry.Flush()
 	switch m := m.(type) {
 	case register:
 		s.send(m.descriptor.Pool, port.RegisterMessage{Descriptor: m.descriptor})
@@ -159,14 +176,23 @@
 }
 
 func (s *Service) onTick(time.Time) {
-	s.events.Flush()
-	s.states.Flush()
+	s.entry.Flush()
 	for pool, r := range s.routes {
 		if r.stale && r.holder != "" {
 			r.stale = false
-			s.states.Send(pool)
+			s.entry.Send(port.StateRequest{Pool: pool})
+		}
+	}
+}
+
+// quiet reports that there is nothing to try again.
+func (s *Service) quiet() bool {
+	for _, r := range s.routes {
+		if r.stale {
+			return false
 		}
 	}
+	return s.entry.Pending() == 0
 }
 
 // send passes a message to a pool's dispatcher. If it cannot be queued, the state is sent
@@ -223,12 +249,12 @@
 			return
 		}
 		s.setHolder(b.Event.Pool, m.From, b.Event.Epoch)
-		s.events.Send(b.Event)
+		s.entry.Send(b.Event)
 	case port.StateRequest:
 		if r := s.routes[b.Pool]; r != nil && b.Epoch < r.epoch {
 			return
 		}
 		s.setHolder(b.Pool, m.From, b.Epoch)
-		s.states.Send(b.Pool)
+		s.entry.Send(b)
 	}
 }
--- a/internal/service/dispatcher/service.go
+++ b/internal/service/dispatcher/service.go
@@ -18,8 +18,14 @@
 	ringCapacity = 8192
 	// tick is the resolution of deadlines and of adaptive windows.
 	tick = 20 * time.Millisecond
+	// quietTick is the interval while no pool has a request; comparisons need it.
+	quietTick = 500 * time.Millisecond
 	// askAgain is how long an instance has to answer a request for its state.
 	askAgain = time.Second
+	// compareEvery is how often each instance compares its requests with those known here. It
+	// bounds the time that a loss lasts which nothing reports. A comparison takes about 40
+	// bytes when there is no difference.
+	compareEvery = 10 * time.Second
 )
 
 type message interface{ message() }
@@ -32,10 +38,14 @@
 
 type received struct{ from port.PeerMessage }
 
+// reset reports that messages from or to an instance may be lost.
+type reset struct{ instance model.InstanceID }
+
 func (leases) message()     {}
 func (viewed) message()     {}
 func (configured) message() {}
 func (received) message()   {}
+func (reset) message()      {}
 
 // pool is a pool whose lease is held here.
 type pool struct {
@@ -47,6 +57,16 @@
 	asked time.Time
 	// reported is when the holder of the placement lease was last told the demand.
 	reported time.Time
+	// compared is when an instance was last asked to compare; next is the one that follows.
+	compared time.Time
+	next     int
+}
+
+// want is a request for state that is sent after the decisions made before it.
+type want struct {
+	to      model.InstanceID
+	pool    model.PoolID
+	compare bool
 }
 
 // Service runs dispatchers.
@@ -63,6 +83,7 @@
 	// table is the last lease table.
 	table  []port.Lease
 	outbox *outbox
+	wants  []want
 }
 
 // New returns the service.
@@ -92,9 +113,11 @@
 		members port.Members
 		control port.ControlClient
 		config  port.Config
+		links   port.PeerLinks
 	)
 	err := r.Bind(
 		kernel.Into(port.PeersName, &s.peers),
+		kernel.Into(port.PeersName, &links),
 		kernel.Into(port.MembersName, &members),
 		kernel.Into(port.ControlClientName, &control),
 		kernel.Into(port.ConfigName, &config),
@@ -106,6 +129,12 @@
 	control.SubscribeLeases(func(l []port.Lease) { s.offer(leases{l}) })
 	members.Subscribe(func(v *model.View) { s.offer(viewed{v}) })
 	config.Subscribe(func(c *model.Config) { s.offer(configured{c}) })
+	links.SubscribeStatus(func(st port.PeerStatus) error {
+		if st.State != port.PeerReset {
+			return nil
+		}
+		return s.ring.Offer(reset{st.Instance.ID})
+	})
 	s.peers.Handle(port.DispatcherName, dispatchwire.New(), func(m port.PeerMessage) error { return s.ring.Offer(received{m}) })
 	return nil
 }
@@ -113,7 +142,7 @@
 // Start implements kernel.Service.
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("dispatcher", kernel.Loop[message]{
-		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick,
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, Quiet: s.quiet, QuietTick: quietTick,
 	}.Run, s.ring)
 	return nil
 }
@@ -144,6 +173,10 @@
 		}
 	case received:
 		s.received(now, m.from)
+	case reset:
+		for id := range s.pools {
+			s.wants = append(s.wants, want{to: m.instance, pool: id})
+		}
 	}
 	s.perform(now)
 }
@@ -158,6 +191,7 @@
 		if p.ready && now.Sub(p.reported) >= port.DemandInterval {
 			s.reportDemand(now, id, p)
 		}
+		s.compare(now, id, p)
 	}
 	s.perform(now)
 }
@@ -173,6 +207,35 @@
 	}
 }
 
+// quiet reports that no decision waits for the next tick.
+func (s *Service) quiet() bool {
+	for _, p := range s.pools {
+		if !p.ready || !p.decide.Empty() {
+			return false
+		}
+	}
+	return len(s.outbox.pending) == 0
+}
+
+// compare asks the instances in turn whether their requests are those known here.
+func (s *Service) compare(now time.Time, id model.PoolID, p *pool) {
+	n := len(s.view.Instances)
+	if !p.ready || n == 0 {
+		return
+	}
+	due := min(int(now.Sub(p.compared)*time.Duration(n)/compareEvery), n)
+	if due == 0 {
+		return
+	}
+	p.compared = now
+	for range due {
+		p.next = (p.next + 1) % n
+		if i := s.view.Instances[p.next]; i.State != model.Gone {
+			s.wants = append(s.wants, want{to: i.ID, pool: id, compare: true})
+		}
+	}
+}
+
 // setLeases starts and stops pools to match the leases held here.
 func (s *Service) setLeases(now time.Time, all []port.Lease) {
 	held := make(map[model.PoolID]port.Lease)
@@ -205,7 +268,7 @@
 			expected = append(expected, i.ID)
 		}
 	}
-	p := &pool{decide: decide.NewPool(id, epoch, expected), epoch: epoch, began: now}
+	p := &pool{decide: decide.NewPool(id, epoch, expected), epoch: epoch, began: now, compared: now}
 	s.pools[id] = p
 	s.log.Emit(event.DispatcherStarted, id, epoch)
 	p.decide.SetConfig(now, s.config)
@@ -214,28 +277,40 @@
 	s.ask(now, id, p)
 }
 
-// ask requests the state of every instance. A request that cannot be queued is repeated
-// while the pool is not ready.
+// ask requests the state of every instance.
 func (s *Service) ask(now time.Time, id model.PoolID, p *pool) {
 	p.asked = now
 	for _, i := range s.view.Instances {
 		if i.State != model.Gone {
-			s.askOne(i.ID, id, p)
+			s.wants = append(s.wants, want{to: i.ID, pool: id})
 		}
 	}
 }
 
-func (s *Service) askOne(to model.InstanceID, id model.PoolID, p *pool) {
-	_ = s.peers.Send(to, port.DispatchName, port.StateRequest{Pool: id, Epoch: p.epoch})
+// sendWants sends the requests for state. The decisions made before have been sent or wait in
+// the outbox, so that the grants up to the named one arrive first.
+func (s *Service) sendWants() {
+	for _, w := range s.wants {
+		p := s.pools[w.pool]
+		if p == nil {
+			continue
+		}
+		r := port.StateRequest{Pool: w.pool, Epoch: p.epoch, Sequence: p.decide.Sequence(w.to), Compare: w.compare}
+		if w.compare {
+			r.Digest = p.decide.Digest(w.to)
+		}
+		s.outbox.put(w.to, r)
+	}
+	s.wants = nil
 }
 
 // askNew requests the state of instances that were not in the old view, or that this one
 // had removed: their requests were forgotten.
-func (s *Service) askNew(old *model.View, id model.PoolID, p *pool) {
+func (s *Service) askNew(old *model.View, id model.PoolID) {
 	for _, i := range s.view.Instances {
 		was, ok := old.Instance(i.ID)
 		if i.State != model.Gone && (!ok || was.State == model.Gone || was.Incarnation != i.Incarnation) {
-			s.askOne(i.ID, id, p)
+			s.wants = append(s.wants, want{to: i.ID, pool: id})
 		}
 	}
 }
@@ -262,7 +337,7 @@
 		}
 	}
 	for id, p := range s.pools {
-		s.askNew(old, id, p)
+		s.askNew(old, id)
 		p.decide.SetInstances(v.Instances)
 		p.decide.SetServers(now, serversOf(v, id))
 		for _, was := range old.Instances {
@@ -277,7 +352,17 @@
 	}
 }
 
+// outdated reports whether a message comes from an instance that has been removed or replaced.
+// An instance that comes back is asked for its state when the view lists it again.
+func (s *Service) outdated(m port.PeerMessage) bool {
+	i, ok := s.view.Instance(m.From)
+	return ok && (i.Incarnation > m.Incarnation || i.Incarnation == m.Incarnation && i.State == model.Gone)
+}
+
 func (s *Service) received(now time.Time, m port.PeerMessage) {
+	if s.outdated(m) {
+		return
+	}
 	switch b := m.Body.(type) {
 	case port.RegisterMessage:
 		if p := s.pools[b.Descriptor.Pool]; p != nil {
@@ -339,6 +424,7 @@
 			s.performOne(id, p.epoch, d)
 		}
 	}
+	s.sendWants()
 }
 
 func (s *Service) performOne(id model.PoolID, epoch model.Epoch, d decide.Decision) {
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,7 @@
 	options     Options
 	log         *event.Log
 	failures    *event.Limited
+	began       time.Time
 	host        *kernel.Host
 	ring        *ring.Ring[message]
 	listener    net.Listener
@@ -72,7 +74,7 @@
 // New returns the service.
 func New(log *event.Log, o Options) *Service {
 	s := &Service{
-		options: o, log: log, failures: log.Limit(event.PeerHandshakeFailed),
+		options: o, log: log, failures: log.Limit(event.PeerHandshakeFailed), began: time.Now(),
 		ring:     ring.New[message]("peers", ringCapacity, ring.Block),
 		handlers: make(map[string]handler),
 	}
@@ -209,7 +211,12 @@
 	if len(data) > maxBody {
 		return &fault.PeerProtocol{Reason: "message too large"}
 	}
-	return l.out.Offer(outgoing{service: service, body: data, incarnation: model.Incarnation(l.incarnation.Load())})
+	err = l.out.Offer(outgoing{service: service, body: data, incarnation: model.Incarnation(l.incarnation.Load())})
+	if _, closed := err.(*ring.ClosedError); closed {
+		// The link has just been given up; another one may take its place.
+		return &fault.PeerUnreachable{Instance: to}
+	}
+	return err
 }
 
 // Health implements kernel.HealthReporter.
@@ -260,6 +267,10 @@
 	}
 }
 
+func (o outboxes) pending() bool {
+	return slices.ContainsFunc(o, func(b *ring.Outbox[port.PeerStatus]) bool { return b.Pending() > 0 })
+}
+
 func isFull(err error) bool {
 	_, full := err.(*ring.FullError)
 	return full
--- a/internal/service/peers/table.go
+++ b/internal/service/peers/table.go
@@ -13,6 +13,8 @@
 
 const (
 	tick = 100 * time.Millisecond
+	// quietTick is the interval while every connection is open.
+	quietTick = time.Second
 	// minRedial and maxRedial bound the pause between attempts to reach an instance.
 	minRedial = 100 * time.Millisecond
 	maxRedial = 2 * time.Second
@@ -72,6 +74,14 @@
 	abandoned uint64
 	// remoteLink is the newest link number that the other side has shown in its incarnation.
 	remoteLink uint64
+	// of is the numbering of the last connection, in both directions.
+	of bothNumberings
+}
+
+// bothNumberings identifies the numbering of messages in both directions.
+type bothNumberings struct {
+	own    uint64
+	remote numbering
 }
 
 // attempt is the state of dialing one address.
@@ -111,7 +121,9 @@
 }
 
 func (t *table) run(ctx context.Context, d *kernel.Duty) {
-	kernel.Loop[message]{Ring: t.service.ring, Tick: tick, Handle: t.handle, OnTick: t.onTick}.Run(ctx, d)
+	kernel.Loop[message]{
+		Ring: t.service.ring, Tick: tick, Handle: t.handle, OnTick: t.onTick, Quiet: t.quiet, QuietTick: quietTick,
+	}.Run(ctx, d)
 }
 
 func (t *table) onTick(now time.Time) {
@@ -119,6 +131,21 @@
 	t.dialDue(now)
 }
 
+// quiet reports that there is nothing to dial and no report to repeat.
+func (t *table) quiet() bool {
+	for _, p := range t.peers {
+		if p.conn == nil && p.address != "" {
+			return false
+		}
+	}
+	for _, id := range t.seeds {
+		if p := t.peers[id]; id != t.service.options.Self.ID && (p == nil || p.conn == nil) {
+			return false
+		}
+	}
+	return !t.service.statuses.pending()
+}
+
 // arrived decides about a connection that another instance opened.
 func (t *table) arrived(a arrived) {
 	reason, known := t.judge(a.conn)
@@ -253,6 +280,10 @@
 	p.link.use(c)
 	t.service.log.Emit(event.PeerUp, p.record.ID, p.record.Incarnation, p.address, c.dialed)
 	t.status(c, port.PeerUp, time.Now())
+	if of := (bothNumberings{p.link.nonce, numberingOf(c)}); of != p.of {
+		p.of = of
+		t.status(c, port.PeerReset, time.Now())
+	}
 }
 
 func (t *table) add(id model.InstanceID) *peer {
@@ -282,7 +313,8 @@
 	t.service.log.Emit(event.PeerDown, p.record.ID, p.record.Incarnation, l.reason)
 	if l.gap {
 		// The two sides disagree about the numbering. A new link makes the other side begin
-		// again at one; what it believes to be delivered and is not, is lost.
+		// again at one; what it believes to be delivered and is not, is lost. The next
+		// connection reports that to the services.
 		p.link.end()
 		p.link = newLink(t.service, p.record.ID)
 		t.publish()
