--- a/internal/service/control/stall_test.go
+++ b/internal/service/control/stall_test.go
@@ -91,13 +91,13 @@
 	return c.WireCodecs.DecodeSnapshot(data, limits)
 }
 
-// startWith starts a voter with other codecs than the usual ones.
-func (g *group) startWith(id model.InstanceID, codecs control.Codecs) {
+// startHeld starts a voter whose decoding of snapshots is held back by a latch.
+func (g *group) startHeld(id model.InstanceID, l *latch) {
 	g.t.Helper()
 	v := &voter{id: id, folder: filepath.Join(g.dir, string(id)), kernel: kernel.New(func(err error) { g.t.Error(err) })}
 	v.service = control.New(control.Settings{
 		Self: id, Folder: v.folder, Initial: g.initial, Limits: state.DefaultLimits(), Files: g.files[id],
-	}, codecs, noSessions{}, event.New(slog.New(slog.NewTextHandler(g.t.Output(), nil))))
+	}, latchedCodecs{latch: l}, noSessions{}, event.New(slog.New(slog.NewTextHandler(g.t.Output(), nil))))
 	for _, s := range []kernel.Service{g.hub.join(id), v.service} {
 		if err := v.kernel.Register(s); err != nil {
 			g.t.Fatal(err)
@@ -107,6 +107,12 @@
 		g.t.Fatal(err)
 	}
 	g.voters[id] = v
+	g.t.Cleanup(func() {
+		l.open()
+		if g.voters[id] == v {
+			g.stop(id)
+		}
+	})
 }
 
 // Guards against appends that wait for the file of a snapshot, and against a snapshot that
@@ -158,7 +164,7 @@
 	c.ask = []model.InstanceID{"v0", "v1", "v2"}
 	slow := newLatch(t)
 	for _, id := range []model.InstanceID{"v1", "v2"} {
-		g.startWith(id, latchedCodecs{latch: slow})
+		g.startHeld(id, slow)
 		if err := c.change(add(id)); err != nil {
 			t.Fatal(err)
 		}
