Reserve the addresses of a proving spec

Cause: two runs of the suite at the same time took the same loopback addresses when their process ids agreed modulo the number of networks, and the second could not listen (seen once). Each new spec also had to keep numbers in step. Change: a spec takes the first free network, which a listener reserves until the spec has ended.

--- a/internal/proving/claims_test.go
+++ b/internal/proving/claims_test.go
@@ -20,8 +20,8 @@
 )
 
 // small is a fleet with 3 voters and one backend server of each kind.
-func small(spec int) shape {
-	s := today(network(spec))
+func small() shape {
+	s := today(network())
 	s.instances, s.voters, s.engines, s.bookings = 5, 3, 1, 1
 	return s
 }
@@ -61,7 +61,7 @@
 	// not_run for a key that ran, while owners and control leaders are killed.
 	It("runs at most once while 200 callers retry it at every instance", func() {
 		const callers, rounds = 200, 4
-		f := newFleet(small(3))
+		f := newFleet(small())
 		for round := range rounds {
 			key := fmt.Sprintf("round-%d", round)
 			var open sync.WaitGroup
@@ -108,7 +108,7 @@
 	// without a disk miss 300 changes and must serve only under the last one.
 	It("serves only under the last of 300 changes", func() {
 		const changes = 300
-		f := newFleet(small(4))
+		f := newFleet(small())
 		f.instances[id(3)].kill()
 		f.instances[id(5)].kill()
 		file := filepath.Join(f.folder, "config.yaml")
--- a/internal/proving/fleet_test.go
+++ b/internal/proving/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -61,10 +62,23 @@
 func (f *fleet) engineAddress(i int) string  { return fmt.Sprintf("%s.1.%d:9000", f.net, i) }
 func (f *fleet) bookingAddress(i int) string { return fmt.Sprintf("%s.2.%d:9000", f.net, i) }
 
-// network returns the addresses of the n-th spec of this run.
-func network(n int) string {
-	const first, runs, specs = 50, 29, 7
-	return fmt.Sprintf("127.%d", first+os.Getpid()%runs*specs+n)
+// specs counts the networks of this run.
+var specs int
+
+// network returns the first two parts of addresses that no other spec or run uses: a listener
+// reserves them until the spec has ended. Two runs at the same time once took the same ones.
+func network() string {
+	const first, count = 50, 200
+	for range count {
+		specs++
+		prefix := fmt.Sprintf("127.%d", first+(os.Getpid()+specs)%count)
+		if l, err := net.Listen("tcp", prefix+".255.1:7000"); err == nil {
+			DeferCleanup(l.Close)
+			return prefix
+		}
+	}
+	Fail("no network is free")
+	return ""
 }
 
 // id returns names that sort like numbers: the smaller id keeps a doubled connection.
--- a/internal/proving/placement_test.go
+++ b/internal/proving/placement_test.go
@@ -92,7 +92,7 @@
 	// Guards against an instance that continues after a long stop and gives orders beside its
 	// successor, to engines that cannot tell the two apart.
 	It("gives no order after its successor has given one", func() {
-		s := small(5)
+		s := small()
 		s.domains, s.engines, s.config = 1, 3, placementConfig()
 		s.engineFlags = []string{"--model", "-", "--load-time", "100ms"}
 		f := newFleet(s)
--- a/internal/proving/proving_test.go
+++ b/internal/proving/proving_test.go
@@ -79,7 +79,7 @@
 	// a request run twice or lost, an answer cut or mixed, a false not_run, and new work for
 	// a leaving backend server.
 	It("keeps its promises while parts of it are killed, cut off, silent, slow and leaving", func() {
-		f := newFleet(today(network(0)))
+		f := newFleet(today(network()))
 		reports := make(chan *load.Report, 1)
 		began := time.Now()
 		go func() {
@@ -128,7 +128,7 @@
 	// Guards against a planned stop that cuts an answer off, loses a request or refuses
 	// without a reason.
 	It("cuts no answer and loses no request", func() {
-		s := today(network(1))
+		s := today(network())
 		s.instances, s.voters, s.engines, s.bookings = 6, 3, 6, 2
 		f := newFleet(s)
 		reports := make(chan *load.Report, 1)
@@ -166,7 +166,7 @@
 var _ = Describe("a frozen control leader", func() {
 	// Guards against a leader that comes back after a long pause and still gives orders.
 	It("gives no lease, grant or configuration after it was replaced", func() {
-		s := today(network(2))
+		s := today(network())
 		s.instances, s.voters, s.engines, s.bookings = 4, 3, 2, 1
 		f := newFleet(s)
 		old := f.leader(4)
--- a/internal/proving/silence_test.go
+++ b/internal/proving/silence_test.go
@@ -60,7 +60,7 @@
 	// its home has gone silent.
 	It("removes nothing that is alive, and its backend server is kept, adopted and used", func() {
 		const paused, server = 5, "repairs-1"
-		s := small(6)
+		s := small()
 		s.instances = 6
 		s.config += "  repairs: {kind: plain, default_deadline: 8s, routes: [{method: GET, path: /stock, idempotent: true}]}\n"
 		f := newFleet(s)
