Share the checks of names and lists between routes and adapters

Cause: the list of adapters repeated the checks of the list of routes and of names. Change: one function for each. Result: the tests of declare pass.

--- a/internal/declare/parse.go
+++ b/internal/declare/parse.go
@@ -193,25 +193,34 @@
 		return false
 	}
 	for _, e := range n.fields {
-		if e.name == "" || len(e.name) > maxNameLength || strings.ContainsAny(e.name, " \t\n/\"'|") {
+		if !validName(e.name) {
 			b.faults.add(e.file, e.line, join(path, e.name), "want a name of 1 to %d characters without spaces, quotes, / or |", maxNameLength)
 		}
 	}
 	return true
 }
 
-func (b *builder) routes(n *node, path string, pool *model.Pool) {
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameLength && !strings.ContainsAny(name, " \t\n/\"'|")
+}
+
+// poolItems returns the items of a list that only pools of one kind have.
+func (b *builder) poolItems(n *node, path, what string, pool *model.Pool, kind model.ServerKind) []*node {
 	if n == nil {
-		return
+		return nil
 	}
 	if n.kind != listNode {
-		b.faults.at(n, path, "want a list of routes")
-		return
+		b.faults.at(n, path, "want a list of %s", what)
+		return nil
 	}
-	if pool.Kind != model.PlainServer {
-		b.faults.at(n, path, "only a pool of kind plain has routes")
+	if pool.Kind != kind {
+		b.faults.at(n, path, "only a pool of kind %s has %s", kind, what)
 	}
-	for _, item := range n.items {
+	return n.items
+}
+
+func (b *builder) routes(n *node, path string, pool *model.Pool) {
+	for _, item := range b.poolItems(n, path, "routes", pool, model.PlainServer) {
 		if !b.known(item, path, "method", "path", "idempotent") {
 			continue
 		}
--- a/internal/declare/placement.go
+++ b/internal/declare/placement.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"briaryard/internal/model"
@@ -45,20 +44,10 @@
 
 // adapters reads the adapters that each engine of a pool loads.
 func (b *builder) adapters(n *node, path string, pool *model.Pool) {
-	if n == nil {
-		return
-	}
-	if n.kind != listNode {
-		b.faults.at(n, path, "want a list of adapters")
-		return
-	}
-	if pool.Kind != model.EngineServer {
-		b.faults.at(n, path, "only a pool of kind engine has adapters")
-	}
-	for _, item := range n.items {
+	for _, item := range b.poolItems(n, path, "adapters", pool, model.EngineServer) {
 		name, ok := readText(item)
 		switch {
-		case !ok || name == "" || len(name) > maxNameLength || strings.ContainsAny(name, " \t\n/\"'|"):
+		case !ok || !validName(name):
 			b.faults.at(item, path, "want names of 1 to %d characters without spaces, quotes, / or |", maxNameLength)
 		case slices.Contains(pool.Adapters, name):
 			b.faults.at(item, path, "%q is listed twice", name)
