Bound the claims of a team by the free places of the table

Cause: the table of claims holds 80,000 claims for 24 h. A team that sent that many different idempotency keys had every new claim of every team refused until its own expired.

The refusal names the team, what it holds and its bound. Claims without a team are from earlier entries; only a full table refuses them, so that an entry has the same outcome when the log is replayed.

--- a/internal/decide/entry/course.go
+++ b/internal/decide/entry/course.go
@@ -33,7 +33,7 @@
 		return m.take()
 	}
 	m.enter(r, claiming, now)
-	claim := state.Claim{Key: r.desc.Key, Fingerprint: r.fingerprint, Request: r.desc.ID, SeenIndex: r.seenIndex}
+	claim := state.Claim{Key: r.desc.Key, Team: r.desc.Team, Fingerprint: r.fingerprint, Request: r.desc.ID, SeenIndex: r.seenIndex}
 	if !m.command(r, claim) {
 		m.returnGrant(r, "too many commands in flight")
 		m.register(now, r)
@@ -164,12 +164,20 @@
 	case state.ClaimSuperseded:
 		m.refuse(now, r, &fault.Superseded{})
 	case state.ClaimFull:
-		m.refuse(now, r, &fault.ClaimsFull{})
+		m.refuse(now, r, claimsFull(r, res))
 	case state.ClaimNone, state.ClaimWon:
 		m.finishRefused(r, &fault.OutcomeUnknown{})
 	}
 }
 
+// claimsFull returns the refusal that the control group states, or one without its figures.
+func claimsFull(r *request, res *state.Result) fault.Fault {
+	if f, ok := res.Err.(*fault.ClaimsFull); ok {
+		return f
+	}
+	return &fault.ClaimsFull{Team: r.desc.Team}
+}
+
 func (m *Machine) replay(r *request, answer *model.Answer) {
 	if answer == nil {
 		m.finishRefused(r, &fault.AnswerNotKept{})
--- a/internal/decide/entry/refusal_test.go
+++ b/internal/decide/entry/refusal_test.go
@@ -110,3 +110,29 @@
 		t.Fatalf("%d callers are remembered, want the one with open requests", len(l.callers))
 	}
 }
+
+// Guards against a refusal for want of room that does not say which team is at which bound, and
+// against a claim that counts for no team.
+func TestClaimsFullNamesTheTeam(t *testing.T) {
+	want := &fault.ClaimsFull{Team: "t", Held: 6, Bound: 4, Limit: 10}
+	for _, stated := range []fault.Fault{want, nil} {
+		m, now := newMachine(), time.Unix(1000, 0)
+		a := keyedArrival(1)
+		m.Arrive(now, a)
+		m.Controlled(now, a.ID, "t", &state.Result{Claim: state.ClaimNone, Index: 1})
+		grant := model.Grant{Request: a.ID, Pool: "p", Server: "s", Incarnation: 1, Epoch: 1}
+		if c := last[state.Claim](t, m.Granted(now, grant)); c.Team != "t" {
+			t.Fatalf("the claim is for team %q", c.Team)
+		}
+		last[state.Refuse](t, m.Controlled(now, a.ID, "t", &state.Result{Claim: state.ClaimFull, Err: stated}))
+		var refused *fault.ClaimsFull
+		for _, e := range m.Controlled(now, a.ID, "t", &state.Result{Claim: state.ClaimNone}) {
+			if r, ok := e.(Refuse); ok {
+				refused, _ = r.Fault.(*fault.ClaimsFull)
+			}
+		}
+		if refused == nil || refused.Team != "t" || stated != nil && *refused != *want {
+			t.Errorf("the caller is told %+v", refused)
+		}
+	}
+}
--- a/internal/decide/state/claims.go
+++ b/internal/decide/state/claims.go
@@ -9,7 +9,9 @@
 
 // ClaimRecord is the state of one key.
 type ClaimRecord struct {
-	Key         model.KeyHash
+	Key model.KeyHash
+	// Team is empty in claims from before claims had a team.
+	Team        model.TeamID
 	Fingerprint model.Fingerprint
 	Request     model.RequestID
 	// Status is ClaimHeld, ClaimFinished or ClaimUnknown.
@@ -87,13 +89,25 @@
 	if cmd.SeenIndex < max(c.floor, c.barriers[cmd.Key].Index) {
 		return Result{Claim: ClaimSuperseded}
 	}
-	if c.table.len() >= limits.Claims {
-		return Result{Claim: ClaimFull, Err: &fault.ClaimsFull{Limit: limits.Claims}}
+	if f := c.room(cmd.Team, limits); f != nil {
+		return Result{Claim: ClaimFull, Err: f}
 	}
-	c.hold(ClaimRecord{Key: cmd.Key, Fingerprint: cmd.Fingerprint, Request: cmd.Request, Status: ClaimHeld})
+	c.hold(ClaimRecord{Key: cmd.Key, Team: cmd.Team, Fingerprint: cmd.Fingerprint, Request: cmd.Request, Status: ClaimHeld})
 	return Result{Claim: ClaimWon}
 }
 
+// room refuses a new claim of a team that already holds as many claims as there are free places,
+// so that one team takes half of the table at most and leaves room for the others. Claims without
+// a team are from before this rule: they are refused only by a full table, as they were then,
+// because an entry whose claim was won must win it again when the log is replayed.
+func (c *claims) room(team model.TeamID, limits Limits) fault.Fault {
+	free, held := max(limits.Claims-c.table.len(), 0), c.table.heldBy(team)
+	if free == 0 || team != "" && held >= free {
+		return &fault.ClaimsFull{Team: team, Held: held, Bound: free, Limit: limits.Claims}
+	}
+	return nil
+}
+
 func (c *claims) hold(r ClaimRecord) {
 	slot := c.table.add(r)
 	o := Owner{r.Request.Instance, r.Request.Incarnation}
--- a/internal/decide/state/claims_test.go
+++ b/internal/decide/state/claims_test.go
@@ -17,6 +17,7 @@
 type attempt struct {
 	id          model.RequestID
 	key         model.KeyHash
+	team        model.TeamID
 	fingerprint model.Fingerprint
 	seen        uint64
 	// ran is set when the claim was won and cleared when the attempt proves that it did not
@@ -82,6 +83,7 @@
 			Seq:         uint64(len(m.attempts)),
 		},
 		key:         model.HashKey("t", fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))),
+		team:        rapid.SampledFrom([]model.TeamID{"", "a", "b"}).Draw(t, "team"),
 		fingerprint: model.Fingerprint{byte(rapid.IntRange(0, 3).Draw(t, "fingerprint") / 3)},
 	}
 	if r := m.machine.Lookup(state.Lookup{Key: a.key, Fingerprint: a.fingerprint}); r.Claim == state.ClaimNone {
@@ -93,7 +95,7 @@
 // Claim also stands for a resent or delayed claim.
 func (m *claimsMachine) Claim(t *rapid.T) {
 	a := m.pick(t)
-	r := m.apply(t, state.Claim{Key: a.key, Fingerprint: a.fingerprint, Request: a.id, SeenIndex: a.seen})
+	r := m.apply(t, state.Claim{Key: a.key, Team: a.team, Fingerprint: a.fingerprint, Request: a.id, SeenIndex: a.seen})
 	if r.Claim != state.ClaimWon || a.ran {
 		return
 	}
@@ -204,7 +206,8 @@
 }
 
 // Guards against a key that is dispatched twice, a not_run that is not true, unknown claims
-// that expire, tables that grow without bound, and snapshots that lose any of it.
+// that expire, tables that grow without bound, a bound of a team that counts its claims wrongly,
+// and snapshots that lose any of it.
 func TestClaimsAgainstNaiveModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { t.Repeat(rapid.StateMachineActions(newClaimsMachine())) })
 }
@@ -258,25 +261,35 @@
 	return int64(s.HeapAlloc)
 }
 
-// BenchmarkClaimMemory reports the memory for each 100,000 claims without answers.
+// BenchmarkClaimMemory reports the memory for 100,000 commands without answers, of which the table
+// takes as many as there is room for. The claims are without a team, or of the teams of the
+// design size with names of the largest length.
 func BenchmarkClaimMemory(b *testing.B) {
-	const claims = 100_000
 	for _, finished := range []bool{false, true} {
-		b.Run(fmt.Sprintf("finished=%v", finished), func(b *testing.B) {
-			for range b.N {
-				before := heap()
-				m := state.NewMachine(state.DefaultLimits())
-				for i := range claims {
-					key := model.HashKey("t", fmt.Sprint(i))
-					id := model.RequestID{Instance: "instance-1", Incarnation: 1, Seq: uint64(i)}
-					m.Apply(m.Applied()+1, time.Unix(0, 0), state.Claim{Key: key, Request: id})
-					if finished {
-						m.Apply(m.Applied()+1, time.Unix(0, 0), state.Finish{Key: key, Request: id})
-					}
-				}
-				b.ReportMetric(float64(heap()-before)/(1<<20), "MiB/100k-claims")
-				runtime.KeepAlive(m)
+		b.Run(fmt.Sprintf("finished=%v", finished), func(b *testing.B) { claimMemory(b, finished, 0) })
+		b.Run(fmt.Sprintf("finished=%v,teams=1300", finished), func(b *testing.B) { claimMemory(b, finished, 1300) })
+	}
+}
+
+func claimMemory(b *testing.B, finished bool, teams int) {
+	const claims = 100_000
+	for range b.N {
+		before := heap()
+		m := state.NewMachine(state.DefaultLimits())
+		for i := range claims {
+			key := model.HashKey("t", fmt.Sprint(i))
+			id := model.RequestID{Instance: "instance-1", Incarnation: 1, Seq: uint64(i)}
+			var team model.TeamID
+			if teams > 0 {
+				team = model.TeamID(fmt.Sprintf("%0128d", i%teams))
+			}
+			m.Apply(m.Applied()+1, time.Unix(0, 0), state.Claim{Key: key, Team: team, Request: id})
+			if finished {
+				m.Apply(m.Applied()+1, time.Unix(0, 0), state.Finish{Key: key, Request: id})
 			}
-		})
+		}
+		b.ReportMetric(float64(heap()-before)/(1<<20), "MiB/100k-claims")
+		b.ReportMetric(float64(m.ClaimCount()), "claims")
+		runtime.KeepAlive(m)
 	}
 }
--- a/internal/decide/state/command.go
+++ b/internal/decide/state/command.go
@@ -13,7 +13,9 @@
 
 // Claim reserves a key for one attempt just before it is dispatched.
 type Claim struct {
-	Key         model.KeyHash
+	Key model.KeyHash
+	// Team is empty in entries from before claims had a team.
+	Team        model.TeamID
 	Fingerprint model.Fingerprint
 	Request     model.RequestID
 	// SeenIndex is the log index at which the attempt learned that no claim stood.
@@ -134,7 +136,7 @@
 	ClaimMismatch
 	// ClaimSuperseded means that the key was refused after the attempt began.
 	ClaimSuperseded
-	// ClaimFull means that there is no room for another claim.
+	// ClaimFull means that there is no room for another claim of the team.
 	ClaimFull
 )
 
--- a/internal/decide/state/machine.go
+++ b/internal/decide/state/machine.go
@@ -11,7 +11,8 @@
 
 // Limits bounds the memory of a Machine.
 type Limits struct {
-	// Claims is the number of claims kept at once.
+	// Claims is the number of claims kept at once. A team with at least as many claims as there
+	// are free places gets no new one.
 	Claims int
 	// AnswerBytes is the size of the largest answer that is kept.
 	AnswerBytes int
@@ -32,8 +33,8 @@
 }
 
 // DefaultLimits are the limits of a control group. They keep a voter below the 256 MB that one
-// node may spend on control. At the limits, a claim takes about 0.21 KB (record 128 bytes, key
-// and slot, owner or answer header), a barrier 0.15 KB, and each claim about 0.1 KB in an encoded
+// node may spend on control. At the limits, a claim takes about 0.21 KB (record 144 bytes, key
+// and slot, owner or answer header; the names of teams are shared), a barrier 0.15 KB, and each claim about 0.1 KB in an encoded
 // snapshot, of which there are two while one replaces the other:
 //
 //	state      80,000 claims 17 MB + answers 6 MB + 20,000 barriers 3 MB = 26 MB
--- a/internal/decide/state/model_test.go
+++ b/internal/decide/state/model_test.go
@@ -111,10 +111,16 @@
 	if c.SeenIndex < n.floor {
 		return state.Result{Claim: state.ClaimSuperseded}
 	}
-	if len(n.claims) >= n.limits.Claims {
-		return state.Result{Claim: state.ClaimFull, Err: &fault.ClaimsFull{Limit: n.limits.Claims}}
+	held, free := 0, n.limits.Claims-len(n.claims)
+	for _, r := range n.claims {
+		if r.Team == c.Team {
+			held++
+		}
+	}
+	if free == 0 || held >= free && c.Team != "" {
+		return state.Result{Claim: state.ClaimFull, Err: &fault.ClaimsFull{Team: c.Team, Held: held, Bound: free, Limit: n.limits.Claims}}
 	}
-	n.claims = append(n.claims, state.ClaimRecord{Key: c.Key, Fingerprint: c.Fingerprint, Request: c.Request, Status: state.ClaimHeld})
+	n.claims = append(n.claims, state.ClaimRecord{Key: c.Key, Team: c.Team, Fingerprint: c.Fingerprint, Request: c.Request, Status: state.ClaimHeld})
 	return state.Result{Claim: state.ClaimWon}
 }
 
--- a/internal/decide/state/view.go
+++ b/internal/decide/state/view.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// Teams returns the teams that have claims by name, without the empty name.
+func (v *View) Teams() []model.TeamID {
+	teams := make(map[model.TeamID]struct{})
+	for _, p := range v.pages {
+		for i := range p.records {
+			if team := p.records[i].Team; team != "" {
+				teams[team] = struct{}{}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(teams))
+}
+
 // open returns the claims that are not finished by key.
 func (v *View) open() []*ClaimRecord {
 	var open []*ClaimRecord
--- a/internal/fault/control.go
+++ b/internal/fault/control.go
@@ -34,12 +34,25 @@
 // RetryAfter implements Retryable.
 func (e *ControlUnavailable) RetryAfter() time.Duration { return time.Second }
 
-// ClaimsFull reports that the table of claims is full.
-type ClaimsFull struct{ Limit int }
+// ClaimsFull reports that a team has no room for another claim.
+type ClaimsFull struct {
+	// Team is empty for a claim without a team, which only a full table refuses.
+	Team model.TeamID
+	// Held claims of the team reach Bound, the number of free places in the table.
+	Held, Bound int
+	// Limit is the size of the table.
+	Limit int
+}
 
 // Code implements Fault.
-func (e *ClaimsFull) Code() Code    { return CodeClaimsFull }
-func (e *ClaimsFull) Error() string { return fmt.Sprintf("the table of %d claims is full", e.Limit) }
+func (e *ClaimsFull) Code() Code { return CodeClaimsFull }
+func (e *ClaimsFull) Error() string {
+	if e.Team == "" {
+		return fmt.Sprintf("the table of %d claims is full", e.Limit)
+	}
+	return fmt.Sprintf("team %q holds %d of %d claims and its bound, the number of free places, is %d",
+		e.Team, e.Held, e.Limit, e.Bound)
+}
 
 // RetryAfter implements Retryable.
 func (e *ClaimsFull) RetryAfter() time.Duration { return time.Minute }
--- a/internal/wire/controlwire/check.go
+++ b/internal/wire/controlwire/check.go
@@ -34,6 +34,8 @@
 	err     *DecodeError
 	// instances holds the names that intern has seen.
 	instances map[model.InstanceID]model.InstanceID
+	// teams holds the names of teams that the claims of a snapshot refer to.
+	teams []model.TeamID
 }
 
 func (c *checker) fail(reason string) {
@@ -70,6 +72,8 @@
 	return model.InstanceID(s)
 }
 
+func (c *checker) team(s string) model.TeamID { return model.TeamID(c.text(s)) }
+
 func (c *checker) key(b []byte) model.KeyHash {
 	var key model.KeyHash
 	if len(b) != len(key) {
--- a/internal/wire/controlwire/codec.go
+++ b/internal/wire/controlwire/codec.go
@@ -146,7 +146,8 @@
 	case nil:
 		return nil, nil
 	case *fault.ClaimsFull:
-		return &controlpb.Fault{Fault: &controlpb.Fault_ClaimsFull{ClaimsFull: &controlpb.ClaimsFull{Limit: int64(f.Limit)}}}, nil
+		return &controlpb.Fault{Fault: &controlpb.Fault_ClaimsFull{ClaimsFull: &controlpb.ClaimsFull{
+			Team: string(f.Team), Held: int64(f.Held), Bound: int64(f.Bound), Limit: int64(f.Limit)}}}, nil
 	case *fault.ConfigConflict:
 		return &controlpb.Fault{Fault: &controlpb.Fault_ConfigConflict{ConfigConflict: conflictToPB(f)}}, nil
 	case *fault.ChangeReused:
@@ -194,7 +195,8 @@
 	}
 	switch f := m.GetFault().(type) {
 	case *controlpb.Fault_ClaimsFull:
-		return &fault.ClaimsFull{Limit: c.number(f.ClaimsFull.GetLimit())}
+		v := f.ClaimsFull
+		return &fault.ClaimsFull{Team: c.team(v.GetTeam()), Held: c.number(v.GetHeld()), Bound: c.number(v.GetBound()), Limit: c.number(v.GetLimit())}
 	case *controlpb.Fault_ConfigConflict:
 		conflict := c.conflict(f.ConfigConflict)
 		return &conflict
--- a/internal/wire/controlwire/command.go
+++ b/internal/wire/controlwire/command.go
@@ -44,7 +44,8 @@
 	switch c := c.(type) {
 	case state.Claim:
 		return &controlpb.Command{Command: &controlpb.Command_Claim{Claim: &controlpb.Claim{
-			Key: c.Key[:], Fingerprint: c.Fingerprint[:], Request: requestToPB(c.Request), SeenIndex: c.SeenIndex}}}, nil
+			Key: c.Key[:], Fingerprint: c.Fingerprint[:], Request: requestToPB(c.Request), SeenIndex: c.SeenIndex,
+			Team: string(c.Team)}}}, nil
 	case state.Finish:
 		return &controlpb.Command{Command: &controlpb.Command_Finish{Finish: &controlpb.Finish{
 			Key: c.Key[:], Request: requestToPB(c.Request), Answer: answerToPB(c.Answer)}}}, nil
@@ -86,7 +87,7 @@
 	case *controlpb.Command_Claim:
 		v := m.Claim
 		return state.Claim{Key: c.key(v.GetKey()), Fingerprint: c.fingerprint(v.GetFingerprint()),
-			Request: c.request(v.GetRequest()), SeenIndex: v.GetSeenIndex()}
+			Request: c.request(v.GetRequest()), SeenIndex: v.GetSeenIndex(), Team: c.team(v.GetTeam())}
 	case *controlpb.Command_Finish:
 		v := m.Finish
 		return state.Finish{Key: c.key(v.GetKey()), Request: c.request(v.GetRequest()), Answer: c.answer(v.GetAnswer())}
--- a/internal/wire/controlwire/snapshot.go
+++ b/internal/wire/controlwire/snapshot.go
@@ -39,6 +39,7 @@
 	fieldChanges
 	fieldRefused
 	fieldLeases
+	fieldTeams
 )
 
 // snapshotWriter appends the fields of a controlpb.Snapshot one by one, so that the message is
@@ -47,6 +48,18 @@
 	buffer []byte
 	size   int
 	err    error
+	// teams are the names that claims refer to by their numbers, so that a claim does not repeat
+	// a name of up to 128 bytes.
+	teams   []model.TeamID
+	numbers map[model.TeamID]uint32
+}
+
+func newSnapshotWriter(v *state.View) snapshotWriter {
+	w := snapshotWriter{teams: v.Teams(), numbers: make(map[model.TeamID]uint32)}
+	for i, team := range w.teams {
+		w.numbers[team] = uint32(i) + 1
+	}
+	return w
 }
 
 func (w *snapshotWriter) message(field protowire.Number, m proto.Message) {
@@ -62,12 +75,15 @@
 
 func (w *snapshotWriter) write(v *state.View) {
 	head := &controlpb.Snapshot{Applied: v.Applied, Now: toNanos(v.Now), Floor: v.Floor, Config: configToPB(v.Config)}
+	for _, team := range w.teams {
+		head.Teams = append(head.Teams, string(team))
+	}
 	w.size += proto.Size(head)
 	if w.buffer != nil {
 		w.buffer, w.err = proto.MarshalOptions{Deterministic: true}.MarshalAppend(w.buffer, head)
 	}
 	for r := range v.Claims() {
-		w.message(fieldClaims, claimToPB(r))
+		w.message(fieldClaims, claimToPB(r, w.numbers[r.Team]))
 	}
 	for _, b := range v.Barriers() {
 		w.message(fieldBarriers, &controlpb.Barrier{Key: b.Key[:], Index: b.Index, At: toNanos(b.At)})
@@ -88,12 +104,12 @@
 // EncodeSnapshot returns the whole state in the form of a snapshot file. It goes over the state
 // twice, first to find the size, so that the result is the only large allocation.
 func EncodeSnapshot(v *state.View) ([]byte, error) {
-	var count snapshotWriter
-	count.write(v)
-	if count.size > math.MaxInt32 {
+	w := newSnapshotWriter(v)
+	w.write(v)
+	if w.size > math.MaxInt32 {
 		return nil, &EncodeError{Value: v, Reason: "larger than the limit"}
 	}
-	w := snapshotWriter{buffer: make([]byte, 0, count.size)}
+	w.buffer = make([]byte, 0, w.size)
 	w.write(v)
 	if w.err != nil {
 		return nil, &EncodeError{Value: v, Reason: w.err.Error()}
@@ -156,6 +172,10 @@
 		e.Floor = s.GetFloor()
 	case fieldConfig:
 		e.Config = c.config(s.GetConfig())
+	case fieldTeams:
+		for _, team := range s.GetTeams() {
+			c.teams = append(c.teams, c.team(team))
+		}
 	case fieldLeases:
 		if len(e.Leases) >= maxLeases {
 			c.fail("too many leases")
@@ -176,10 +196,10 @@
 	}
 }
 
-func claimToPB(r *state.ClaimRecord) *controlpb.ClaimRecord {
+func claimToPB(r *state.ClaimRecord, team uint32) *controlpb.ClaimRecord {
 	return &controlpb.ClaimRecord{
 		Key: r.Key[:], Fingerprint: r.Fingerprint[:], Request: requestToPB(r.Request), Status: uint32(r.Status),
-		Answer: answerToPB(r.Answer), FinishedAt: toNanos(r.FinishedAt), FinishedIndex: r.FinishedIndex,
+		Answer: answerToPB(r.Answer), FinishedAt: toNanos(r.FinishedAt), FinishedIndex: r.FinishedIndex, Team: team,
 	}
 }
 
@@ -190,6 +210,11 @@
 		FinishedAt: fromNanos(m.FinishedAt), FinishedIndex: m.GetFinishedIndex(),
 	}
 	r.Request.Instance = c.intern(r.Request.Instance)
+	if n := int(m.GetTeam()); n > len(c.teams) {
+		c.fail("claim of an unknown team")
+	} else if n > 0 {
+		r.Team = c.teams[n-1]
+	}
 	return r
 }
 
--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -28,6 +28,7 @@
 	lookup := state.Lookup{Key: key, Fingerprint: print32}
 	return []state.Command{
 		state.Claim{Key: key, Fingerprint: print32, Request: request, SeenIndex: 4},
+		state.Claim{Key: key, Team: "luthiers", Fingerprint: print32, Request: request, SeenIndex: 4},
 		state.Finish{Key: key, Request: request, Answer: answer},
 		state.Finish{Key: key, Request: request},
 		state.Abandon{Key: key, Request: request},
@@ -58,7 +59,7 @@
 			{Revision: 1, ChangeID: "c1", Operator: "ana", At: time.Unix(5, 6).UTC()}, {Revision: 2, ChangeID: "c2"}}}},
 	}
 	for _, f := range []fault.Fault{
-		&fault.ClaimsFull{Limit: 10}, &fault.ChangeReused{ChangeID: "c1"}, &fault.ControlUnavailable{Operation: "Claim"},
+		&fault.ClaimsFull{Limit: 10}, &fault.ClaimsFull{Team: "luthiers", Held: 6, Bound: 4, Limit: 10}, &fault.ChangeReused{ChangeID: "c1"}, &fault.ControlUnavailable{Operation: "Claim"},
 		&fault.LastVoter{Instance: "i1"}, &fault.VoterChangeInProgress{Instance: "i1"}, &fault.UnknownVoter{Instance: "i1"},
 		&fault.QuorumLost{Instance: "i1", Needed: 2, Reachable: 1, Silent: []model.InstanceID{"i2"}},
 		&fault.ConfigConflict{Number: 2, Current: 3, WinnerChange: "c2", WinnerOperator: "luz"},
@@ -82,10 +83,11 @@
 		at = at.Add(time.Second)
 		m.Apply(m.Applied()+1, at, c)
 	}
+	teams := []model.TeamID{"luthiers", "", "buyers", "luthiers"}
 	for i, k := range []string{"held", "finished", "unknown", "released"} {
 		r := model.RequestID{Instance: "i1", Incarnation: 1, Seq: uint64(i)}
 		h := model.HashKey("t", k)
-		apply(state.Claim{Key: h, Fingerprint: print32, Request: r})
+		apply(state.Claim{Key: h, Team: teams[i], Fingerprint: print32, Request: r})
 		switch k {
 		case "finished":
 			apply(state.Finish{Key: h, Request: r, Answer: answer})
@@ -148,12 +150,32 @@
 	}
 }
 
+// Guards against a claim of a snapshot that counts for a team that the snapshot does not name.
+func TestSnapshotRefusesAnUnknownTeam(t *testing.T) {
+	record := &controlpb.ClaimRecord{Key: key[:], Fingerprint: print32[:], Status: uint32(state.ClaimUnknown), Team: 2}
+	for _, teams := range [][]string{{"a"}, {"a", "b"}} {
+		data, err := proto.Marshal(&controlpb.Snapshot{Teams: teams})
+		if err != nil {
+			t.Fatal(err)
+		}
+		claims, err := proto.Marshal(&controlpb.Snapshot{Claims: []*controlpb.ClaimRecord{record}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := controlwire.DecodeSnapshot(append(data, claims...), state.DefaultLimits())
+		if known := len(teams) == 2; known != (err == nil) || known && m.Export().Claims[0].Team != "b" {
+			t.Errorf("with the teams %q the answer is %v", teams, err)
+		}
+	}
+}
+
 // Guards against values from the network that reach a decision unchecked.
 func TestDecodeRefusesWhatIsOutOfBounds(t *testing.T) {
 	long := strings.Repeat("x", 2000)
 	for _, c := range []*controlpb.Command{
 		{Command: &controlpb.Command_OwnerDead{OwnerDead: &controlpb.OwnerDead{Instance: long}}},
 		{Command: &controlpb.Command_ApplyConfig{ApplyConfig: &controlpb.ApplyConfig{ChangeId: long}}},
+		{Command: &controlpb.Command_Claim{Claim: &controlpb.Claim{Key: key[:], Fingerprint: print32[:], Team: long}}},
 		{Command: &controlpb.Command_Abandon{Abandon: &controlpb.KeyRequest{Key: key[:15]}}},
 		{Command: &controlpb.Command_Lookup{Lookup: &controlpb.Lookup{Key: key[:], Fingerprint: key[:]}}},
 		{Command: &controlpb.Command_Finish{Finish: &controlpb.Finish{Key: key[:], Answer: &controlpb.Answer{Status: -1}}}},
