Read the time after each message, so that a stopped leader ends with its lease

Cause: the control duty took up to 256 messages with the time of the first one, and carried out their output with it.

Change: handle reads the time after it has taken each message and before the output; Loop passes the time of the call to OnTick. The test stops the control duty between the writing of a change and the end of its sync, or cuts the leader off in silence, and sends it reads, changes and heartbeats for 60 s. Tests of the voter service can now run in virtual time (testing/synctest) with disks that lose what was not synced; failingFS became a part of that disk.

The test of Loop fails with the ticker's time put back.

--- a/internal/kernel/duty.go
+++ b/internal/kernel/duty.go
@@ -107,7 +107,8 @@
 }
 
 // Loop is the body of a duty that takes messages from one ring and, if Tick is positive,
-// also acts at that interval.
+// also acts at that interval. OnTick gets the time at which it is called: the ticker's own time
+// is older by as long as the process or the duty was stopped, and a lease could seem to last.
 type Loop[T any] struct {
 	Ring   *ring.Ring[T]
 	Tick   time.Duration
@@ -127,8 +128,8 @@
 		// A tick is taken even when the ring never runs empty, so that timeouts still
 		// fire under load.
 		select {
-		case now := <-ticks:
-			l.OnTick(now)
+		case <-ticks:
+			l.OnTick(time.Now())
 		default:
 		}
 		if m, ok := l.Ring.TryGet(); ok {
@@ -142,8 +143,8 @@
 		}
 		select {
 		case <-l.Ring.Ready():
-		case now := <-ticks:
-			l.OnTick(now)
+		case <-ticks:
+			l.OnTick(time.Now())
 		case <-l.Ring.Done():
 			if l.Ring.Stats().Depth == 0 {
 				return
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -165,3 +166,27 @@
 	r.Close()
 	_ = k.Stop(context.Background())
 }
+
+// Guards against a tick that carries a time from before a stop of the duty, by which a lease that
+// ended during the stop would still last.
+func TestTickCarriesTheTimeOfItsCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := ring.New[int]("r", 1, ring.Refuse)
+		k := kernel.New(nil)
+		ticks := 0
+		k.Host().Go("duty", kernel.Loop[int]{
+			Ring: r, Tick: 50 * time.Millisecond,
+			Handle: func(time.Time, int) { time.Sleep(time.Minute) },
+			OnTick: func(now time.Time) {
+				if ticks++; time.Since(now) != 0 {
+					t.Errorf("tick %d is %v old", ticks, time.Since(now))
+				}
+			},
+		}.Run, r)
+		_ = r.Offer(1)
+		time.Sleep(2 * time.Minute)
+		if err := k.Stop(context.Background()); err != nil || ticks < 1000 {
+			t.Errorf("%d ticks, stop returned %v", ticks, err)
+		}
+	})
+}
--- a/internal/service/control/duty.go
+++ b/internal/service/control/duty.go
@@ -11,6 +11,8 @@
 )
 
 // handle takes a message and those that already wait behind it, then carries out the output.
+// The time is read after each message has arrived: by an older time, a leader that was stopped in
+// between would answer requests that arrived after the end of its lease.
 func (s *Service) handle(now time.Time, m message) {
 	s.take(now, m)
 	for range turn - 1 {
@@ -18,9 +20,9 @@
 		if !ok {
 			break
 		}
-		s.take(now, next)
+		s.take(time.Now(), next)
 	}
-	s.pump(now)
+	s.pump(time.Now())
 }
 
 func (s *Service) onTick(now time.Time) {
--- a/internal/service/control/harness_test.go
+++ b/internal/service/control/harness_test.go
@@ -30,6 +30,8 @@
 	mu    sync.Mutex
 	peers map[model.InstanceID]*peers
 	cut   map[model.InstanceID]bool
+	// tap, if set, sees each message before its delivery and returns what arrives, nil for nothing.
+	tap func(from, to model.InstanceID, body any) any
 }
 
 type handler struct {
@@ -61,6 +63,21 @@
 	h.cut[id] = cut
 }
 
+func (h *hub) setTap(tap func(from, to model.InstanceID, body any) any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tap = tap
+}
+
+// leave ends all traffic of an instance, until it joins again.
+func (h *hub) leave(id model.InstanceID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.peers, id)
+}
+
+func isVoter(id model.InstanceID) bool { return id[0] == 'v' }
+
 func (p *peers) Name() string                                { return port.PeersName }
 func (p *peers) Needs() []string                             { return nil }
 func (p *peers) Provision(kernel.Resolver) error             { return nil }
@@ -77,14 +94,18 @@
 func (p *peers) Send(to model.InstanceID, service string, body any) error {
 	p.hub.mu.Lock()
 	target, ok := p.hub.peers[to]
-	// A cut voter still reaches the client, as one that is cut off from its peers only.
-	cut := (p.hub.cut[p.self] || p.hub.cut[to]) && p.self != clientID && to != clientID
+	// A cut voter still reaches the clients, as one that is cut off from its peers only.
+	cut := (p.hub.cut[p.self] || p.hub.cut[to]) && isVoter(p.self) && isVoter(to) || p.hub.peers[p.self] != p
+	tap := p.hub.tap
 	var h handler
 	if ok {
 		h, ok = target.handlers[service]
 	}
 	p.hub.mu.Unlock()
-	if !ok || cut {
+	if ok && !cut && tap != nil {
+		body = tap(p.self, to, body)
+	}
+	if !ok || cut || body == nil {
 		return nil
 	}
 	if h.codec != nil {
@@ -122,15 +143,22 @@
 	files   map[model.InstanceID]storage.FS
 	initial []model.InstanceID
 	voters  map[model.InstanceID]*voter
+	gates   map[model.InstanceID]*gate
+	// sessions replaces the handling of heartbeats of the voters started from then on.
+	sessions func() control.Sessions
 }
 
 func newGroup(t testing.TB, size int) *group {
-	g := &group{t: t, hub: newHub(), dir: t.TempDir(), files: map[model.InstanceID]storage.FS{}, voters: map[model.InstanceID]*voter{}}
+	g := &group{
+		t: t, hub: newHub(), dir: t.TempDir(), files: map[model.InstanceID]storage.FS{}, voters: map[model.InstanceID]*voter{},
+		gates: map[model.InstanceID]*gate{}, sessions: func() control.Sessions { return noSessions{} },
+	}
 	for i := range size {
 		g.initial = append(g.initial, model.InstanceID(fmt.Sprintf("v%d", i)))
 	}
 	t.Cleanup(func() {
-		for _, v := range g.voters {
+		for id, v := range g.voters {
+			g.gates[id].resume()
 			_ = v.kernel.Stop(context.Background())
 		}
 	})
@@ -140,9 +168,10 @@
 func (g *group) start(id model.InstanceID) error {
 	v := &voter{id: id, folder: filepath.Join(g.dir, string(id))}
 	v.kernel = kernel.New(func(err error) { g.t.Error(err) })
+	g.gates[id] = &gate{}
 	v.service = control.New(control.Settings{
 		Self: id, Folder: v.folder, Initial: g.initial, Limits: state.DefaultLimits(), Files: g.files[id],
-	}, control.WireCodecs{}, noSessions{}, event.New(slog.New(slog.NewTextHandler(g.t.Output(), nil))))
+	}, gatedCodecs{gate: g.gates[id]}, g.sessions(), g.log())
 	for _, s := range []kernel.Service{g.hub.join(id), v.service} {
 		if err := v.kernel.Register(s); err != nil {
 			return err
@@ -155,6 +184,8 @@
 	return nil
 }
 
+func (g *group) log() *event.Log { return event.New(slog.New(slog.NewTextHandler(g.t.Output(), nil))) }
+
 func (g *group) startAll() {
 	g.t.Helper()
 	for _, id := range g.initial {
--- a/internal/service/control/service_test.go
+++ b/internal/service/control/service_test.go
@@ -6,14 +6,12 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 
 	"briaryard/internal/decide/consensus"
 	"briaryard/internal/decide/state"
 	"briaryard/internal/fault"
 	"briaryard/internal/model"
-	"briaryard/internal/storage"
 )
 
 func claim(i int) state.Claim {
@@ -136,47 +134,15 @@
 	}
 }
 
-// failingFS fails every sync once it is told to.
-type failingFS struct {
-	storage.OS
-	fail atomic.Bool
-}
-
-type failingFile struct {
-	storage.File
-	fs *failingFS
-}
-
-func (f *failingFS) Create(name string) (storage.File, error) {
-	file, err := f.OS.Create(name)
-	return failingFile{file, f}, err
-}
-
-func (f *failingFS) Append(name string) (storage.File, error) {
-	file, err := f.OS.Append(name)
-	return failingFile{file, f}, err
-}
-
-func (f failingFile) Sync() error {
-	if f.fs.fail.Load() {
-		return syscall.ENOSPC
-	}
-	return f.File.Sync()
-}
-
 // Guards against a voter that goes on after a failed sync, at the leader too.
 func TestVoterWithFailedSyncStopsVoting(t *testing.T) {
 	g := newGroup(t, 3)
-	disks := map[model.InstanceID]*failingFS{}
-	for _, id := range g.initial {
-		disks[id] = &failingFS{}
-		g.files[id] = disks[id]
-	}
+	g.useDisks(0)
 	g.startAll()
 	c := g.client()
 	c.do(claim(1))
 	bad := g.leader()
-	disks[bad.id].fail.Store(true)
+	g.disk(bad.id).fail.Store(true)
 	if r := c.do(claim(2)); r.Claim != state.ClaimWon {
 		t.Fatalf("claim is %s", r.Claim)
 	}
