--- a/internal/kernel/duty.go
+++ b/internal/kernel/duty.go
@@ -107,7 +107,8 @@
 }
 
 // Loop is the body of a duty that takes messages from one ring and, if Tick is positive,
-// also acts at that interval.
+// also acts at that interval. OnTick gets the time at which it is called: the ticker's own time
+// is older by as long as the process or the duty was stopped, and a lease could seem to last.
 type Loop[T any] struct {
 	Ring   *ring.Ring[T]
 	Tick   time.Duration
@@ -128,8 +129,8 @@
 		// A tick is taken even when the ring never runs empty, so that timeouts still
 		// fire under load.
 		select {
-		case now := <-t.c:
-			l.tick(now, &t)
+		case <-t.c:
+			l.tick(time.Now(), &t)
 		default:
 		}
 		if m, ok := l.Ring.TryGet(); ok {
@@ -144,8 +145,8 @@
 		}
 		select {
 		case <-l.Ring.Ready():
-		case now := <-t.c:
-			l.tick(now, &t)
+		case <-t.c:
+			l.tick(time.Now(), &t)
 		case <-l.Ring.Done():
 			if l.Ring.Stats().Depth == 0 {
 				return
