Prove the fleet for 60 s with a second loss of the leader and the dispatcher

Cause: the proving run loaded the fleet for 40 s and each part failed once; the promise is 60 s, and failures may come twice and together. Its search for an order of a history was ours without a reason given. Change: 60 s of load; while a voter is isolated the leader is killed again, then the dispatcher.

--- a/internal/proving/proving_test.go
+++ b/internal/proving/proving_test.go
@@ -85,7 +85,7 @@
 		go func() {
 			defer GinkgoRecover()
 			defer close(reports)
-			reports <- f.load("office", 90, 40*time.Second, seed)
+			reports <- f.load("office", 90, 60*time.Second, seed)
 		}()
 		at := func(s int, what string) {
 			time.Sleep(time.Until(began.Add(time.Duration(s) * time.Second)))
@@ -105,6 +105,10 @@
 		f.crash(f.leader(11), 3*time.Second)
 		at(31, "a voter is isolated")
 		f.isolate(f.voterNotLeading(11))
+		at(38, "the control leader is killed while a voter is isolated")
+		f.crash(f.leader(11), 3*time.Second)
+		at(44, "the dispatcher is killed again")
+		f.crash(f.holder(11, "notes"), 3*time.Second)
 		report := <-reports
 		Expect(report).NotTo(BeNil())
 		f.expectKept(report)
--- a/internal/service/control/linear_test.go
+++ b/internal/service/control/linear_test.go
@@ -23,7 +23,9 @@
 
 // linearizable searches for an order of the operations, at most 1024, that agrees with real time
 // and with step (Wing and Gong's search; a visited pair of done operations and state is not
-// visited again). After a million visits it gives up.
+// visited again). After a million visits it gives up. Open operations need not be placed: a
+// history has up to 1,300 of them, with which porcupine 1.3.1, which places every operation, did
+// not end within 200 s.
 func linearizable[S comparable](ops []operation, initial S, step func(S, state.Command, *state.Result) (S, bool)) (ok, decided bool) {
 	type node struct {
 		done  [16]uint64
