Let urgent work of a team above its share go ahead when its time runs out

Cause: a team ahead of the least served one yields to it across the lower three tiers, so its interactive work waited behind batch work of others until it was too late. The test now asks for 95% of the large team's interactive work.

--- a/internal/decide/dispatch/decide.go
+++ b/internal/decide/dispatch/decide.go
@@ -108,7 +108,7 @@
 	if lower := p.entitled(now, first); lower >= 0 {
 		first = lower
 	}
-	return p.fairer(p.tiers[first].starts.top().deadlines.top())
+	return p.fairer(now, p.tiers[first].starts.top().deadlines.top())
 }
 
 // entitled returns a tier below the first that is owed part of its minimum share, if every
@@ -157,6 +157,10 @@
 func (p *Pool) grant(now time.Time, r *request, e fleet.Estimate) {
 	t := &p.tiers[r.desc.Tier]
 	t.charge(r.flow, r.cost)
+	if p.ahead == r {
+		p.aheadLeft -= float64(r.cost)
+	}
+	p.ahead = nil
 	p.usages.charge(r.flow.usage, float64(r.cost)/r.flow.weight)
 	p.credit(r)
 	p.dequeue(r)
--- a/internal/decide/dispatch/pool.go
+++ b/internal/decide/dispatch/pool.go
@@ -40,6 +40,11 @@
 	memory    memory
 	spares    spares
 	usages    usages
+	// ahead is the request that goes before lower tiers of others though its team is above
+	// its share; aheadLeft is the allowance for such grants at aheadAt.
+	ahead     *request
+	aheadLeft float64
+	aheadAt   time.Time
 	// totalWeight is the sum of the declared weights.
 	totalWeight float64
 	// tokens is the cost of all waiting requests.
--- a/internal/decide/dispatch/usage.go
+++ b/internal/decide/dispatch/usage.go
@@ -1,12 +1,23 @@
 package dispatch
 
-import "briaryard/internal/model"
+import (
+	"time"
+
+	"briaryard/internal/model"
+)
 
 // usageLead is the time, in seconds of the pool's throughput, by which a team may be ahead
 // of the least served waiting team. It covers bursts: a team within its share is rarely
 // ahead by more.
 const usageLead = 2
 
+// aheadShare is the part of the pool's throughput that teams above their share may take
+// before lower tiers of other teams, for requests that have waited half of their time. With
+// it, interactive goodput of a team at 20 times its share rises from 63% to 99.9% in
+// workload A at no cost to the others; a twice as large part cost others their batch work
+// when the team had the largest weight. docs/decisions/shares.md has the figures.
+const aheadShare = 0.15
+
 // usage is what a team has used over all tiers, as virtual time. Shares within a tier do
 // not stop a team that sends everything in high tiers, so that lower tiers of the others
 // never run. Usage changes the order of grants only; shedding stays strict by tier.
@@ -70,7 +81,7 @@
 
 // fairer returns the request to grant instead of one of a team that is far ahead of the
 // least served team: that team's most urgent request. The top tier is never put back.
-func (p *Pool) fairer(r *request) *request {
+func (p *Pool) fairer(now time.Time, r *request) *request {
 	if r.desc.Tier == model.Urgent || p.pace.rate == 0 || p.totalWeight == 0 {
 		return r
 	}
@@ -80,8 +91,50 @@
 	}
 	for _, f := range least.flows {
 		if f != nil && f.deadlines.len() > 0 {
-			return f.deadlines.top()
+			other := f.deadlines.top()
+			if other.desc.Tier > r.desc.Tier && p.goesAhead(now, r, least) {
+				return r
+			}
+			return other
 		}
 	}
 	return r
 }
+
+// goesAhead reports whether a request of a team above its share goes before the lower tiers
+// of the least served team: its time runs out, the other team's has not, and the allowance
+// of the pool for this is not used up.
+func (p *Pool) goesAhead(now time.Time, r *request, least *usage) bool {
+	at := now.UnixNano()
+	if 2*(r.useful-at) > r.useful-r.desc.Arrived.UnixNano() {
+		return false
+	}
+	if p.aheadNow(now) <= 0 {
+		return false
+	}
+	backlog := int64(0)
+	for i, f := range least.flows {
+		backlog += p.tiers[i].backlog
+		if own := r.flow.usage.flows[i]; own != nil {
+			backlog -= own.backlog
+		}
+		if f == nil || f.deadlines.len() == 0 || i <= int(r.desc.Tier) {
+			continue
+		}
+		left := time.Duration(f.deadlines.top().useful - at)
+		if left.Seconds() < slackFactor*float64(backlog)/p.pace.rate {
+			return false
+		}
+	}
+	p.ahead = r
+	return true
+}
+
+// aheadNow returns the cost that teams above their share may still take before lower tiers
+// of others.
+func (p *Pool) aheadNow(now time.Time) float64 {
+	most := aheadShare * usageLead * p.pace.rate
+	p.aheadLeft = min(p.aheadLeft+now.Sub(p.aheadAt).Seconds()*aheadShare*p.pace.rate, most)
+	p.aheadAt = now
+	return p.aheadLeft
+}
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -64,7 +64,8 @@
 }
 
 // Guards against one team that takes the goodput of the others by sending 20 times its
-// share, in all tiers or only in one that goes before the others' lower tiers.
+// share, in all tiers or only in one that goes before the others' lower tiers, and against
+// its own interactive work waiting behind the others' batch work until it is too late.
 func TestLargeTeam(t *testing.T) {
 	eachSeed(t, func(t *testing.T, w harness.Workload, seed uint64) {
 		sc := harness.Scenario{Load: 0.9, Length: 120 * time.Second}
@@ -85,6 +86,9 @@
 			if is < 0.99*was {
 				t.Errorf("extra tier %d: goodput of the other teams %.2f%%, want at least 99%% of %.2f%%", sc.ExtraTier, 100*is, 100*was)
 			}
+			if got := large[model.Interactive].Ratio(); sc.ExtraTier == 0 && got < 0.95 {
+				t.Errorf("interactive goodput of the large team %.2f%%, want at least 95%%", 100*got)
+			}
 		}
 	})
 }
