Let the most urgent follower succeed and keep followers through a rebuild

Cause: rapid traces with idempotency keys and instances that die found three faults. A returned request's place went to its oldest follower, so an urgent attempt could wait behind a batch one with its key. A dispatcher that had not heard from all instances, or whose lease had lapsed, shed followers over their bound. A reconcile told a request that the instance no longer had that another one had ended. Change: the most urgent follower succeeds; followers are shed only when the pool may shed; waiting requests are reconciled before outstanding ones. A follower shed at the bound of followers is not compared with lower tiers, because it had no place in the order.

--- a/internal/decide/dispatch/duplicate.go
+++ b/internal/decide/dispatch/duplicate.go
@@ -16,7 +16,8 @@
 		p.supplant(first, r)
 		return false
 	}
-	if p.following >= p.maxWaiting {
+	// Like every shedding, this waits until the pool knows all requests and its lease.
+	if p.following >= p.maxWaiting && p.Ready() && !p.lapsed {
 		p.forget(r)
 		p.evict(r, Shed, "too many requests wait for the same key")
 		return true
@@ -54,7 +55,8 @@
 	p.following--
 }
 
-// succeed gives the place of a request that ended without running to its first follower.
+// succeed gives the place of a request that ended without running to its first follower of
+// the most urgent tier, because a follower waits as long as the request that it follows.
 func (p *Pool) succeed(r *request) {
 	if r.desc.Key.IsZero() || p.keys[r.desc.Key] != r {
 		return
@@ -63,8 +65,14 @@
 	if len(r.followers) == 0 {
 		return
 	}
-	next := r.followers[0]
-	next.followers = r.followers[1:]
+	first := 0
+	for i, f := range r.followers {
+		if f.desc.Tier < r.followers[first].desc.Tier {
+			first = i
+		}
+	}
+	next := r.followers[first]
+	next.followers = append(r.followers[:first], r.followers[first+1:]...)
 	r.followers = nil
 	next.leader = nil
 	for _, f := range next.followers {
--- a/internal/decide/dispatch/duplicate_test.go
+++ b/internal/decide/dispatch/duplicate_test.go
@@ -75,6 +75,21 @@
 	g.Expect(out[0].Descriptor.ID).To(Equal(ds[1].ID))
 }
 
+// Guards against an urgent attempt that takes the place of a returned one only after a
+// follower of a lower tier.
+func TestMostUrgentFollowerTakesPlace(t *testing.T) {
+	g := NewWithT(t)
+	p, ds, _ := keyed(model.Standard, model.Batch)
+	urgent := ds[1]
+	urgent.ID.Seq, urgent.Tier = 3, model.Urgent
+	p.Register(epoch, urgent)
+	g.Expect(p.Take()).To(BeEmpty())
+	p.Report(epoch, model.Progress{Request: ds[0].ID, Server: "s", Epoch: 1, Kind: model.ProgressReturned})
+	out := p.Take()
+	g.Expect(out).To(HaveLen(1))
+	g.Expect(out[0].Descriptor.ID).To(Equal(urgent.ID))
+}
+
 // Guards against a resync that is older than a report and revives an ended request.
 func TestLateResyncDoesNotReviveEndedRequest(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/decide/dispatch/reconcile.go
+++ b/internal/decide/dispatch/reconcile.go
@@ -18,14 +18,19 @@
 	for i := range outstanding {
 		listed[outstanding[i].Grant.Request] = granted
 	}
-	var missing []*request
+	// Waiting ones go first: the end of an outstanding one concludes those with its key, of
+	// which the instance would be told though it no longer has them.
+	var missing, ended []*request
 	for r := p.instances[from]; r != nil; r = r.next {
 		is, ok := listed[r.desc.ID]
-		if r.phase != granted && !ok || r.phase == granted && r.run.sequence <= seen && is != granted {
+		switch {
+		case r.phase != granted && !ok:
 			missing = append(missing, r)
+		case r.phase == granted && r.run.sequence <= seen && is != granted:
+			ended = append(ended, r)
 		}
 	}
-	for _, r := range missing {
+	for _, r := range append(missing, ended...) {
 		// Concluding one request may have ended others with its key.
 		if p.requests[r.desc.ID] == r {
 			_, again := listed[r.desc.ID]
