--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -107,27 +107,34 @@
 	return sum.Ratio()
 }
 
-// Guards against goodput or waste that depend on the number of instances and servers.
+// Guards against goodput, waste or cost per request that depend on the number of instances
+// and servers.
 func TestTenTimesTheSize(t *testing.T) {
 	for _, w := range []harness.Workload{harness.WorkloadA(), harness.WorkloadB()} {
-		sc := overload
-		var cost [2]time.Duration
-		for i, by := range []int{1, 10} {
-			start := time.Now()
-			r := harness.Run("briaryard", fleet.NewGradient, w.Scaled(by), sc, 1)
-			offered := 0
-			for tier := range r.Tiers {
-				offered += r.Tiers[tier].Offered
+		t.Run(w.Name, func(t *testing.T) {
+			t.Parallel()
+			var small [2]float64
+			for n := range 4 {
+				by, seed := []int{1, 10}[n%2], uint64(n/2+1)
+				start := time.Now()
+				r := harness.Run("briaryard", fleet.NewGradient, w.Scaled(by), overload, seed)
+				cost := [2]float64{float64(r.Messages) / float64(r.Arrivals), float64(r.Decisions) / float64(r.Arrivals)}
+				t.Logf("%d times: for each request or retry %s, %.2f messages, %.2f decisions\n%s",
+					by, time.Since(start)/time.Duration(r.Arrivals), cost[0], cost[1], r)
+				if by == 1 {
+					small = cost
+				} else if cost[0] > 1.1*small[0] || cost[1] > 1 {
+					t.Errorf("%s at %d times: %.2f messages and decisions for each request, want at most 10%% more messages than %.2f and one decision",
+						w.Name, by, cost, small[0])
+				}
+				if got := r.Tiers[model.Urgent].Ratio(); got < 0.99 {
+					t.Errorf("%s at %d times: top-tier goodput %.2f%%, want at least 99%%", w.Name, by, 100*got)
+				}
+				if w.Name == "B" && r.Wasted() > 0.02*r.Prefill {
+					t.Errorf("B at %d times: wasted prefill %.2f%%, want at most 2%%", by, 100*r.Wasted()/r.Prefill)
+				}
 			}
-			cost[i] = time.Since(start) / time.Duration(offered)
-			t.Logf("%d times: %s for each offered request\n%s", by, cost[i], r)
-			if got := r.Tiers[model.Urgent].Ratio(); got < 0.99 {
-				t.Errorf("%s at %d times: top-tier goodput %.2f%%, want at least 99%%", w.Name, by, 100*got)
-			}
-			if w.Name == "B" && r.Wasted() > 0.02*r.Prefill {
-				t.Errorf("B at %d times: wasted prefill %.2f%%, want at most 2%%", by, 100*r.Wasted()/r.Prefill)
-			}
-		}
+		})
 	}
 }
 
--- a/internal/harness/result.go
+++ b/internal/harness/result.go
@@ -27,6 +27,9 @@
 	Teams            map[model.TeamID]*[model.TierCount]TierResult
 	// Prefill is all prompt tokens computed; the wasted ones are split by cause.
 	Prefill, WastedLate, WastedLost float64
+	// Arrivals counts the requests with their retries; Messages and Decisions count what the
+	// dispatcher received, ticks aside, and decided.
+	Arrivals, Messages, Decisions int
 	// Before and After are top-tier first-token times around the loss of the dispatcher.
 	Before, After []time.Duration
 }
--- a/internal/harness/run.go
+++ b/internal/harness/run.go
@@ -183,6 +183,7 @@
 
 func (r *run) submit(j *job) {
 	r.jobs[j.desc.ID] = j
+	r.result.Arrivals++
 	r.clock.at(j.desc.Deadline, func() { r.expired(j) })
 	r.clock.after(r.workload.Delay, func() {
 		if !j.over {
--- a/internal/harness/schedule.go
+++ b/internal/harness/schedule.go
@@ -60,7 +60,9 @@
 		return
 	}
 	f(s.run.clock.now)
+	s.run.result.Messages++
 	for _, d := range s.pool.Take() {
+		s.run.result.Decisions++
 		j := s.run.jobs[d.Descriptor.ID]
 		switch d.Kind {
 		case dispatch.Granted:
@@ -80,8 +82,11 @@
 }
 func (s *pooled) load(r model.LoadReport)    { s.do(func(now time.Time) { s.pool.Load(now, r) }) }
 func (s *pooled) cache(e []model.CacheEvent) { s.do(func(now time.Time) { s.pool.Cache(now, e) }) }
-func (s *pooled) tick()                      { s.do(func(now time.Time) { s.pool.Tick(now) }) }
-func (s *pooled) servers()                   { s.do(func(now time.Time) { s.pool.SetServers(now, s.run.records()) }) }
+func (s *pooled) tick() {
+	s.do(func(now time.Time) { s.pool.Tick(now) })
+	s.run.result.Messages--
+}
+func (s *pooled) servers() { s.do(func(now time.Time) { s.pool.SetServers(now, s.run.records()) }) }
 
 // replace loses the dispatcher. Its lease runs out before the next one starts, which then
 // hears from one instance after the other.
