Keep urgent work off servers that the earlier dispatcher used little

Change: for 3 s after a change of dispatcher, urgent work avoids servers of unknown speed with less than half of the mean resumed work.

--- a/internal/decide/fleet/choose.go
+++ b/internal/decide/fleet/choose.go
@@ -17,6 +17,9 @@
 	// nearEqual is the relative difference of scores below which the choice is random, so
 	// that stale knowledge does not send many requests to one server.
 	nearEqual = 1.1
+	// suspicion is how long urgent work avoids a server that may be slow. Other work teaches
+	// its speed in that time.
+	suspicion = 3 * time.Second
 )
 
 // Estimate is the expected course of a request on a server.
@@ -101,7 +104,7 @@
 }
 
 func (f *Fleet) consider(now time.Time, s *server, d *model.Descriptor, domain model.FailureDomain, output float64) {
-	if now.Before(s.paused) {
+	if now.Before(s.paused) || d.Tier == model.Urgent && f.maybeSlow(now, s) {
 		return
 	}
 	e := estimate(now, s, d, domain, output)
@@ -112,6 +115,13 @@
 	f.candidates = append(f.candidates, candidate{server: s, estimate: e, score: score})
 }
 
+// maybeSlow reports whether an earlier dispatcher had far less work on a server than on the
+// others, as on an engine that it had found slow. A new dispatcher knows no speeds, and an
+// urgent prompt on such an engine waited over a second.
+func (f *Fleet) maybeSlow(now time.Time, s *server) bool {
+	return f.resumed > 0 && now.Sub(f.resumedAt) < suspicion && !s.speed.known() && 2*s.resumed*f.usable < f.resumed
+}
+
 func estimate(now time.Time, s *server, d *model.Descriptor, domain model.FailureDomain, output float64) Estimate {
 	e := Estimate{Server: s.record.ID, Incarnation: s.record.Incarnation, InFlight: s.inFlight, Window: s.window()}
 	if s.plain() {
--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -24,6 +24,9 @@
 	// candidates is reused by Choose.
 	candidates []candidate
 	usable     int
+	// resumed counts the requests that an earlier dispatcher granted, the last at resumedAt.
+	resumed   int
+	resumedAt time.Time
 }
 
 // New returns a fleet without servers. The seed makes its choices repeatable.
@@ -142,6 +145,9 @@
 	w.server.pending -= w.uncached
 	w.server.since -= w.uncached
 	f.refresh(w.server)
+	w.server.resumed++
+	f.resumed++
+	f.resumedAt = now
 }
 
 // Failed takes the time at which granted work failed. Progress follows.
--- a/internal/decide/fleet/server.go
+++ b/internal/decide/fleet/server.go
@@ -46,7 +46,9 @@
 	speed      speed
 	generation *speed
 	inFlight   int
-	pending    int
+	// resumed is the part of the fleet's resumed requests on this server.
+	resumed int
+	pending int
 	// works lists the requests in flight.
 	works *Work
 	// report is the last load report; since counts prompt tokens granted after it.
