Count what is sent between instances by service

Cause: docs/CAPACITY.md gives bytes at rest from a benchmark only; no metric of a running instance shows the traffic between instances or what a request adds to it. Change: peer_sent_bytes and peer_sent_messages with the label service; peers counts heartbeats and acknowledgements.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -75,8 +75,10 @@
 		fx.Supply(i.log, &i.settings, initial),
 		fx.Provide(metric.NewSet, settings.security, settings.outgoing, settings.fleet, i.newCallers, i.newAnnounce, i.newOperators, i.newLifecycle),
 		fx.Provide(
-			service(func(l *event.Log, c trust.Configs, t *trust.FleetTokens) *peers.Service {
-				return peers.New(l, settings.peers(i.incarnation, c, t))
+			service(func(l *event.Log, m *metric.Set, c trust.Configs, t *trust.FleetTokens) *peers.Service {
+				options := settings.peers(i.incarnation, c, t)
+				options.Metrics = m
+				return peers.New(l, options)
 			}),
 			service(func(l *event.Log) *members.Service { return members.New(l, settings.instance(i.incarnation)) }),
 			service(i.newControlClient),
--- a/internal/metric/process.go
+++ b/internal/metric/process.go
@@ -12,6 +12,8 @@
 	PlacementOrders      = define(KindCounter, "placement_orders", "orders", "outcome", "Orders to engines by what became of sending them.")
 	PlacementOutstanding = define(KindGauge, "placement_outstanding", "orders", "", "Orders that the engines' announcements have not settled yet.")
 	PlacementMissing     = define(KindGauge, "placement_missing", "engines", "", "Engines that are missing for the declared placement; 0 at instances without the placement lease.")
+	PeerSentBytes        = define(KindCounter, "peer_sent_bytes", "bytes", "service", "Bytes of the frames sent to other instances, by the service whose message they carry; `peers` counts heartbeats and acknowledgements. Messages sent again count again; handshakes and the layers below the frames are left out.")
+	PeerSentMessages     = define(KindCounter, "peer_sent_messages", "messages", "service", "Messages sent to other instances, by service; `peers` counts heartbeats and acknowledgements. Messages sent again count again.")
 	ClaimLatency         = define(KindHistogram, "claim_latency", "microseconds", "", "Time from the claim of an idempotency key to the control group's answer.")
 	Withdrawn            = define(KindGauge, "withdrawn", "instances", "", "1 if this instance cannot confirm its configuration and refuses new requests, 0 if not.")
 	Unhealthy            = define(KindGauge, "services_unhealthy", "services", "", "Services of this instance that report a failure.")
--- a/internal/service/peers/link.go
+++ b/internal/service/peers/link.go
@@ -276,10 +276,18 @@
 
 func (s *sender) append(f *peerpb.Frame) {
 	s.reported = f.GetAcknowledged()
-	var err error
-	if s.buf, err = appendFrame(s.buf, f); err != nil {
+	before := len(s.buf)
+	buf, err := appendFrame(s.buf, f)
+	if err != nil {
 		s.fail()
+		return
+	}
+	s.buf = buf
+	sent := s.link.service.own
+	if f.Message != nil {
+		sent = s.link.service.handlers[f.Message.Service].sent
 	}
+	sent.add(len(s.buf) - before)
 }
 
 func (s *sender) appendAck() { s.append(&peerpb.Frame{Acknowledged: s.received}) }
--- a/internal/service/peers/peers_test.go
+++ b/internal/service/peers/peers_test.go
@@ -53,11 +53,16 @@
 
 func startNode(t *testing.T, id string, incarnation model.Incarnation, token string, l net.Listener, advertise string, seeds ...string) *node {
 	t.Helper()
-	n := &node{log: event.New(slog.New(slog.DiscardHandler))}
-	n.service = peers.New(n.log, peers.Options{
+	return startNodeWith(t, peers.Options{
 		Self:     model.Instance{ID: model.InstanceID(id), Incarnation: incarnation, PeerAddress: advertise},
 		Listener: l, Peers: seeds, Token: token,
 	})
+}
+
+func startNodeWith(t *testing.T, o peers.Options) *node {
+	t.Helper()
+	n := &node{log: event.New(slog.New(slog.DiscardHandler))}
+	n.service = peers.New(n.log, o)
 	n.service.Handle("numbers", numbers{}, func(m port.PeerMessage) error {
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -11,6 +11,7 @@
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/kernel"
+	"briaryard/internal/metric"
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/ring"
@@ -42,11 +43,15 @@
 	// ServerTLS and ClientTLS protect the connections; nil for plain connections.
 	ServerTLS *tls.Config
 	ClientTLS func() *tls.Config
+	// Metrics, if set, takes the counters of what is sent.
+	Metrics *metric.Set
 }
 
 type handler struct {
 	codec port.Codec
 	sink  func(port.PeerMessage) error
+	// sent counts the messages of the service.
+	sent traffic
 }
 
 // Service connects this instance to the others.
@@ -65,6 +70,8 @@
 	lastNonce atomic.Uint64
 	// handlers does not change after Provision.
 	handlers map[string]handler
+	// own counts the frames without a message.
+	own traffic
 	// statuses belongs to the "peers" duty once it runs.
 	statuses outboxes
 	// links is replaced as a whole by the "peers" duty.
@@ -73,13 +80,16 @@
 
 // New returns the service.
 func New(log *event.Log, o Options) *Service {
+	if o.Metrics == nil {
+		o.Metrics = metric.NewSet()
+	}
 	s := &Service{
 		options: o, log: log, failures: log.Limit(event.PeerHandshakeFailed), began: time.Now(),
 		ring:     ring.New[message]("peers", ringCapacity, ring.Block),
-		handlers: make(map[string]handler),
+		handlers: make(map[string]handler), own: newTraffic(o.Metrics, port.PeersName),
 	}
 	for name, codec := range o.Codecs {
-		s.handlers[name] = handler{codec: codec}
+		s.handlers[name] = handler{codec: codec, sent: newTraffic(o.Metrics, name)}
 	}
 	s.incarnation.Store(uint64(o.Self.Incarnation))
 	s.links.Store(&map[model.InstanceID]*link{})
@@ -182,7 +192,7 @@
 
 // Handle implements port.Peers.
 func (s *Service) Handle(service string, codec port.Codec, sink func(port.PeerMessage) error) {
-	s.handlers[service] = handler{codec, sink}
+	s.handlers[service] = handler{codec, sink, newTraffic(s.options.Metrics, service)}
 }
 
 // SubscribeStatus implements port.Peers.
