--- a/examples/measure/tokens.sh
+++ b/examples/measure/tokens.sh
@@ -36,6 +36,8 @@
 look >>"$FLEET/looks"
 sleep "$seconds"
 look >>"$FLEET/looks"
+ended=$(cat "$FLEET"/answer-* | grep -c '\[DONE\]' || true)
+((ended == 0)) || { echo "streams $streams: $ended answers ended before the last look, so the run does not count" >&2; exit 1; }
 awk -v what="streams $streams" '
   { t[NR] = $1 / 1e9; cpu[NR] = $2; r[NR] = $3; w[NR] = $4; tokens[NR] = $5 }
   function per(a) { return (a[4] - a[3] - (a[2] - a[1]) * (t[4] - t[3]) / (t[2] - t[1])) / (tokens[4] - tokens[3]) }
