Withdraw an instance whose revision is above the accepted one

Cause: following the restore procedure showed that an instance which was not stopped kept the configuration of the earlier group under the new one and answered as ready, because any revision up to its own was taken as a confirmation; and that readiness said true before the first configuration, while every request was refused. Change: only an answer with exactly the revision in force confirms it. Ruled out that a correct group gives a lower one: an answer older than one already taken counts for nothing, and a leader answers only after it has applied an entry of its own term. Readiness is 'starting' without a configuration.

--- a/internal/app/ready_test.go
+++ b/internal/app/ready_test.go
@@ -41,6 +41,11 @@
 		Eventually(reason, 30).Should(Equal(operator.ReasonWithdrawn))
 		Expect(health()).To(Equal(200))
 		fleet = append(fleet, launch(settings[1]), launch(settings[2]))
+		Eventually(reason, 30).Should(Equal(operator.ReasonStarting))
+		Eventually(func() error {
+			return client.Post(context.Background(), operator.PathConfig, operator.Apply{
+				ChangeID: "first", Operator: "ana", Content: testConfig}, &operator.Applied{})
+		}, 30).Should(Succeed())
 		Eventually(reason, 30).Should(Equal("ready"))
 		finished := make(chan struct{})
 		fleet[0].BeginStop(func() { close(finished) })
--- a/internal/decide/controlcall/heartbeat.go
+++ b/internal/decide/controlcall/heartbeat.go
@@ -232,7 +232,9 @@
 		b.offered = r.Config.Revision
 		m.emit(PublishConfig{Config: *r.Config})
 	}
-	if sent.revision < r.Revision {
+	if sent.revision != r.Revision {
+		// A revision above the group's belongs to an earlier group: this one was founded anew
+		// while the instance went on. It must not serve under a configuration that is not accepted.
 		return
 	}
 	b.confirmed = sent.at
--- a/internal/decide/controlcall/machine_test.go
+++ b/internal/decide/controlcall/machine_test.go
@@ -226,6 +226,22 @@
 	}
 }
 
+// Guards against an instance that goes on under the configuration of an earlier group after the
+// group was founded anew: its revision is above the one that is accepted now.
+func TestRevisionAboveTheAcceptedOneIsNotConfirmed(t *testing.T) {
+	h := start()
+	h.answerBeat(session.Answer{Config: &state.AcceptedConfig{Revision: 2}, Revision: 2})
+	h.Confirm(2)
+	h.pass(300 * time.Millisecond)
+	h.answerBeat(session.Answer{Revision: 2})
+	h.pass(4 * time.Second)
+	h.answerBeat(session.Answer{Revision: 1})
+	h.pass(1300 * time.Millisecond)
+	if !reflect.DeepEqual(h.confirmed, []bool{false, true, false}) {
+		t.Fatalf("confirmed %v, want false: the group has accepted revision 1 only", h.confirmed)
+	}
+}
+
 // Guards against a stopping instance whose leases only expire, and against a stop that waits
 // for ever for a control group that is gone.
 func TestReleaseGivesLeasesUp(t *testing.T) {
--- a/internal/service/frontoperator/ready.go
+++ b/internal/service/frontoperator/ready.go
@@ -8,8 +8,8 @@
 	"briaryard/internal/operator"
 )
 
-// getReady answers whether the instance takes new requests, which is when the address list names
-// it. Health is another question: a withdrawn instance works and must not be restarted for it.
+// getReady answers whether the instance takes new requests: the address list names it and it has
+// a configuration. Health is another question: a withdrawn instance works and must not be restarted for it.
 func (s *Service) getReady(w http.ResponseWriter, r *http.Request) {
 	readiness := operator.Readiness{Reason: operator.ReasonBusy, Detail: "the operator duty does not answer"}
 	if p, f := s.ask(r.Context()); f == nil {
@@ -32,6 +32,8 @@
 	case self.Withdrawn:
 		return operator.Readiness{Reason: operator.ReasonWithdrawn,
 			Detail: "the control group has not confirmed the configuration of the instance in time"}
+	case p.config.Revision == 0:
+		return operator.Readiness{Reason: operator.ReasonStarting, Detail: "no configuration is in force"}
 	}
 	return operator.Readiness{Ready: true}
 }
--- a/internal/service/frontoperator/ready_test.go
+++ b/internal/service/frontoperator/ready_test.go
@@ -18,6 +18,14 @@
 	"briaryard/internal/service/frontoperator"
 )
 
+// inForce is a configuration service whose configuration the test sets.
+type inForce struct {
+	*fleet
+	sink func(*model.Config)
+}
+
+func (c *inForce) Subscribe(sink func(*model.Config)) { c.sink = sink }
+
 // viewed is a members service whose view the test sets.
 type viewed struct {
 	*fleet
@@ -30,18 +38,22 @@
 	// Guards against callers that are sent to an instance which refuses them, and against a
 	// supervisor that restarts an instance which only waits for the control group.
 	DescribeTable("follows the address list and is apart from the health",
-		func(instances []model.Instance, unhealthy map[string]error, status int, reason string, health int) {
+		func(config *model.Config, instances []model.Instance, unhealthy map[string]error, status int, reason string, health int) {
+			configs := &inForce{fleet: &fleet{name: port.ConfigName}}
 			members := &viewed{fleet: &fleet{name: port.MembersName}}
 			s := frontoperator.New(event.New(slog.New(slog.NewTextHandler(io.Discard, nil))), metric.NewSet(), frontoperator.Options{
 				Address: "127.0.0.1:0", Instance: "i1", Health: func() map[string]error { return unhealthy }, Drain: func() {},
 			})
 			k := kernel.New(func(error) {})
-			for _, service := range []kernel.Service{members, configs{&fleet{name: port.ConfigName}}, placements{&fleet{name: port.PlacementName}}, &fleet{name: port.ControlClientName}, s} {
+			for _, service := range []kernel.Service{members, configs, placements{&fleet{name: port.PlacementName}}, &fleet{name: port.ControlClientName}, s} {
 				Expect(k.Register(service)).To(Succeed())
 			}
 			Expect(k.Start(context.Background())).To(Succeed())
 			DeferCleanup(func() { Expect(k.Stop(context.Background())).To(Succeed()) })
 			members.sink(&model.View{Instances: instances})
+			if config != nil {
+				configs.sink(config)
+			}
 			answered := func(path string) int {
 				response, err := http.Get("http://" + s.Address() + path)
 				Expect(err).NotTo(HaveOccurred())
@@ -55,10 +67,11 @@
 			Expect(r.Reason).To(Equal(reason))
 			Expect(r.Ready).To(Equal(status == 200))
 		},
-		Entry("serving", []model.Instance{{ID: "i1"}}, nil, 200, "", 200),
-		Entry("withdrawn", []model.Instance{{ID: "i2"}, {ID: "i1", Withdrawn: true}}, nil, 503, operator.ReasonWithdrawn, 200),
-		Entry("stopping", []model.Instance{{ID: "i1", State: model.Leaving}}, nil, 503, operator.ReasonLeaving, 200),
-		Entry("starting", []model.Instance{{ID: "i2"}}, nil, 503, operator.ReasonStarting, 200),
-		Entry("serving beside a failed voter", []model.Instance{{ID: "i1"}}, map[string]error{"control": io.EOF}, 200, "", 503),
+		Entry("serving", &model.Config{Revision: 1}, []model.Instance{{ID: "i1"}}, nil, 200, "", 200),
+		Entry("withdrawn", &model.Config{Revision: 1}, []model.Instance{{ID: "i2"}, {ID: "i1", Withdrawn: true}}, nil, 503, operator.ReasonWithdrawn, 200),
+		Entry("stopping", &model.Config{Revision: 1}, []model.Instance{{ID: "i1", State: model.Leaving}}, nil, 503, operator.ReasonLeaving, 200),
+		Entry("starting", &model.Config{Revision: 1}, []model.Instance{{ID: "i2"}}, nil, 503, operator.ReasonStarting, 200),
+		Entry("without a configuration", nil, []model.Instance{{ID: "i1"}}, nil, 503, operator.ReasonStarting, 200),
+		Entry("serving beside a failed voter", &model.Config{Revision: 1}, []model.Instance{{ID: "i1"}}, map[string]error{"control": io.EOF}, 200, "", 503),
 	)
 })
