--- a/internal/service/placement/service_test.go
+++ b/internal/service/placement/service_test.go
@@ -49,7 +49,7 @@
 func ticks(s *Service) {
 	for range 3 {
 		time.Sleep(time.Millisecond)
-		s.onTick(time.Time{})
+		s.onTick(time.Now())
 	}
 }
 
