Keep the control group going without an operator

Cause: on the users' platform machines with a disk are lost for good, come back empty, run out of space and are replaced at other addresses, and nobody gives commands about voters. A suspended machine's steady clock also stands still, so that a leader's lease seemed to last.

Change: a voter can be set up as unattended. Any folder may then join as a learner; a caught-up learner takes the place of a voter that has been silent for 2.5 s, the removal first, so that each change moves one voter. A voter whose log failed opens its folder again after 0.5 s and writes all of it once more before it goes on. Only a first start founds a group. Leases and elections count by a clock of the caller's choice; clock.Boot counts suspended time. ReplaceConfig accepts the configuration with the highest number and acknowledges every other one without effect; ReadConfig is a linearizable read.

Ruled out: a joint change of two voters at once, because two majorities of the old and the new set need not meet; and ending the process after a failed sync, because the platform counts processes that end by themselves.

No behaviour of the project's own fleets changes: the new settings are off by default.

--- a/internal/decide/consensus/change.go
+++ b/internal/decide/consensus/change.go
@@ -6,6 +6,17 @@
 	"briaryard/internal/model"
 )
 
+const (
+	// voterSilence is how long a voter is silent before a learner takes its place. It is above
+	// what a restarted process needs, so that a restart changes no voter.
+	voterSilence = 2500 * time.Millisecond
+	// learnerSilence is how long a learner is silent before it is forgotten. It only bounds the
+	// list.
+	learnerSilence = 20 * time.Second
+	// maxSpare bounds the learners beside the voters.
+	maxSpare = 8
+)
+
 // canChange reports whether a voter change may begin: the leader has committed in its term and
 // no earlier change is uncommitted.
 func (n *Node) canChange() bool {
@@ -52,7 +63,7 @@
 // mayJoin reports whether a folder may become a learner: it is new, and its instance already
 // takes part or was permitted by an operator.
 func (n *Node) mayJoin(s Membership, m Member) bool {
-	known := n.permitted[m.Instance]
+	known := n.permitted[m.Instance] || n.set.Voters > 0 && len(s.Members) < n.set.Voters+maxSpare
 	for _, r := range s.Members {
 		if r.Member == m {
 			return false
@@ -88,8 +99,14 @@
 		if !r.Learner || p == nil || p.match < n.log.commit || now.Sub(p.beat) >= MinElection {
 			continue
 		}
+		old, replaces := replaced(members, r.Member)
+		if !replaces && n.set.Voters > 0 && len(members.Voters()) >= n.set.Voters {
+			if old, replaces = n.silentVoter(now, members); !replaces {
+				continue
+			}
+		}
 		members = members.clone()
-		if old, ok := replaced(members, r.Member); ok {
+		if replaces {
 			members.remove(old)
 		} else {
 			r.Learner = false
@@ -98,6 +115,40 @@
 		n.propose(now, members)
 		return
 	}
+	n.forgetLearner(now, members)
+}
+
+// silentVoter returns a voter that has acknowledged no heartbeat for voterSilence, if those that
+// remain have a quorum of reachable ones. Removing it takes away no acknowledgement that a commit
+// needs: the change commits by a quorum of the members that are left.
+func (n *Node) silentVoter(now time.Time, s Membership) (Member, bool) {
+	for _, v := range s.Voters() {
+		if v != n.set.Self && n.silent(now, v, voterSilence) && n.QuorumWithout(v, now.Add(-MinElection)).Works() {
+			return v, true
+		}
+	}
+	return Member{}, false
+}
+
+// forgetLearner removes one learner that is gone, so that it does not keep a place of the spares.
+func (n *Node) forgetLearner(now time.Time, s Membership) {
+	if n.set.Voters == 0 {
+		return
+	}
+	for _, r := range s.Members {
+		if r.Learner && n.silent(now, r.Member, learnerSilence) {
+			members := s.clone()
+			members.remove(r.Member)
+			n.propose(now, members)
+			return
+		}
+	}
+}
+
+// silent reports whether a member has acknowledged no heartbeat for a time while this node led.
+func (n *Node) silent(now time.Time, m Member, limit time.Duration) bool {
+	p := n.lead.progress[m]
+	return p != nil && now.Sub(p.beat) >= limit && now.Sub(p.since) >= limit
 }
 
 // replaced returns the voter with another folder of the learner's instance.
--- a/internal/decide/consensus/found.go
+++ b/internal/decide/consensus/found.go
@@ -17,7 +17,7 @@
 // three join intervals. Only the first of them founds, so that there is one group; if its
 // folder is wiped later, the others no longer show empty folders and it joins as a learner.
 func (n *Node) found(now time.Time) bool {
-	if n.hard.Group != 0 || len(n.set.Initial) == 0 || n.set.Self.Instance != slices.Min(n.set.Initial) {
+	if n.set.JoinOnly || n.hard.Group != 0 || len(n.set.Initial) == 0 || n.set.Self.Instance != slices.Min(n.set.Initial) {
 		return false
 	}
 	members := Membership{Members: []MemberRecord{{Member: n.set.Self}}}
--- a/internal/decide/consensus/lead.go
+++ b/internal/decide/consensus/lead.go
@@ -46,6 +46,8 @@
 	acked    time.Time
 	// beat is the send time of the newest heartbeat that the member acknowledged.
 	beat time.Time
+	// since is when this leader began to follow the member.
+	since time.Time
 	// told is the commit index that the member was last sent.
 	told uint64
 	// offset is the next part of the snapshot at snapshotIndex.
@@ -92,7 +94,7 @@
 	}
 	for _, r := range members.Members {
 		if r.Member != n.set.Self && n.lead.progress[r.Member] == nil {
-			n.lead.progress[r.Member] = &progress{next: n.log.last(), probing: true, boot: r.Boot, acked: now}
+			n.lead.progress[r.Member] = &progress{next: n.log.last(), probing: true, boot: r.Boot, acked: now, since: now}
 		}
 	}
 }
--- a/internal/decide/consensus/node.go
+++ b/internal/decide/consensus/node.go
@@ -21,6 +21,13 @@
 	// Initial lists the voters of a group that is yet to be founded, and the instances to ask
 	// when the membership is unknown or does not list Self.
 	Initial []model.InstanceID
+	// JoinOnly keeps the node from founding a group: its folder is empty because the disk was
+	// lost or is new, and the group exists.
+	JoinOnly bool
+	// Voters is the number of voters that the leader keeps by itself: any folder may join as a
+	// learner, and a caught-up learner takes the place of a voter that is silent. Zero leaves
+	// both to operators.
+	Voters int
 }
 
 // Node is one member's part of the group.
--- a/internal/decide/state/command.go
+++ b/internal/decide/state/command.go
@@ -77,6 +77,16 @@
 	Content  []byte
 }
 
+// ReplaceConfig proposes a whole configuration. The highest number is in force: a number that is
+// not above the present one is acknowledged and changes nothing, whatever its content.
+type ReplaceConfig struct {
+	Number  model.Revision
+	Content []byte
+}
+
+// ReadConfig reads the configuration in force.
+type ReadConfig struct{}
+
 // AcquireLease gives a lease to an instance.
 type AcquireLease struct {
 	Name        string
@@ -103,19 +113,21 @@
 // below Before, or below none if it is zero.
 type ListChanges struct{ Before model.Revision }
 
-func (Claim) command()        {}
-func (Finish) command()       {}
-func (Abandon) command()      {}
-func (Release) command()      {}
-func (Refuse) command()       {}
-func (Lookup) command()       {}
-func (Await) command()        {}
-func (OwnerDead) command()    {}
-func (ApplyConfig) command()  {}
-func (AcquireLease) command() {}
-func (ReleaseLease) command() {}
-func (ChangeVoters) command() {}
-func (ListChanges) command()  {}
+func (Claim) command()         {}
+func (Finish) command()        {}
+func (Abandon) command()       {}
+func (Release) command()       {}
+func (Refuse) command()        {}
+func (Lookup) command()        {}
+func (Await) command()         {}
+func (OwnerDead) command()     {}
+func (ApplyConfig) command()   {}
+func (AcquireLease) command()  {}
+func (ReleaseLease) command()  {}
+func (ChangeVoters) command()  {}
+func (ListChanges) command()   {}
+func (ReplaceConfig) command() {}
+func (ReadConfig) command()    {}
 
 // ClaimStatus is the answer to a command about a key.
 type ClaimStatus uint8
@@ -172,7 +184,7 @@
 	// Revision is the accepted revision.
 	Revision model.Revision
 	// Changes is the page of a ListChanges, oldest first, and Older says that older changes
-	// than these exist.
+	// than these exist. For a ReadConfig it is the configuration in force, with its content.
 	Changes []AcceptedConfig
 	Older   bool
 	// Err is set when the command was refused.
@@ -200,6 +212,10 @@
 		return "OwnerDead"
 	case ApplyConfig:
 		return "ApplyConfig"
+	case ReplaceConfig:
+		return "ReplaceConfig"
+	case ReadConfig:
+		return "ReadConfig"
 	case AcquireLease:
 		return "AcquireLease"
 	case ReleaseLease:
--- a/internal/decide/state/configs.go
+++ b/internal/decide/state/configs.go
@@ -83,6 +83,14 @@
 	return Result{Revision: cmd.Number}
 }
 
+// replace takes a configuration if its number is above the present one.
+func (c *configs) replace(cmd ReplaceConfig, now time.Time) Result {
+	if cmd.Number > c.current.Revision {
+		c.current = AcceptedConfig{Revision: cmd.Number, At: now, Content: cmd.Content}
+	}
+	return Result{Revision: c.current.Revision}
+}
+
 // conflict names the change that won a number, or the one in force if no change that is
 // still remembered has that number.
 func (c *configs) conflict(number model.Revision) fault.ConfigConflict {
--- a/internal/decide/state/machine.go
+++ b/internal/decide/state/machine.go
@@ -116,6 +116,8 @@
 		m.claims.ownerDead(c)
 	case ApplyConfig:
 		return m.configs.apply(c, m.now, m.limits)
+	case ReplaceConfig:
+		return m.configs.replace(c, m.now)
 	case AcquireLease:
 		return Result{Lease: m.acquire(c)}
 	case ReleaseLease:
@@ -132,6 +134,8 @@
 		return m.Lookup(c), true
 	case Await:
 		return m.Lookup(c.Lookup), true
+	case ReadConfig:
+		return Result{Index: m.applied, Revision: m.configs.current.Revision, Changes: []AcceptedConfig{m.configs.current}}, true
 	case ListChanges:
 		r := m.configs.list(c.Before)
 		r.Index = m.applied
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -32,6 +32,8 @@
 		"The data folder was restored from an older copy; the voter empties it and rejoins as a learner.", "incarnation")
 	ControlSnapshot = define(3016, slog.LevelInfo, "control.snapshot",
 		"The voter replaced its log by a snapshot.", "index", "bytes", "took")
+	ControlReopened = define(3018, slog.LevelInfo, "control.reopened",
+		"A voter whose log had failed opened its folder again and takes part in the control group.", "folder", "last_index")
 	ControlEntryUnreadable = define(3017, slog.LevelError, "control.entry_unreadable",
 		"A committed entry or snapshot cannot be read by this version of the program.", "index", "error")
 )
--- a/internal/kernel/duty.go
+++ b/internal/kernel/duty.go
@@ -119,6 +119,9 @@
 	// so ticks are most of what an idle duty costs.
 	Quiet     func() bool
 	QuietTick time.Duration
+	// Now is the clock that Handle and OnTick get; nil means time.Now. A duty that counts leases
+	// by another clock sets it.
+	Now func() time.Time
 }
 
 // Run handles messages until the context ends or the ring is closed and empty.
@@ -130,13 +133,12 @@
 		// fire under load.
 		select {
 		case <-t.c:
-			l.tick(time.Now(), &t)
+			l.tick(l.now(), &t)
 		default:
 		}
 		if m, ok := l.Ring.TryGet(); ok {
-			now := time.Now()
-			d.Touch(now)
-			l.Handle(now, m)
+			d.Touch(time.Now())
+			l.Handle(l.now(), m)
 			if ctx.Err() == nil {
 				t.wake(l)
 				continue
@@ -146,7 +148,7 @@
 		select {
 		case <-l.Ring.Ready():
 		case <-t.c:
-			l.tick(time.Now(), &t)
+			l.tick(l.now(), &t)
 		case <-l.Ring.Done():
 			if l.Ring.Stats().Depth == 0 {
 				return
@@ -157,6 +159,13 @@
 	}
 }
 
+func (l Loop[T]) now() time.Time {
+	if l.Now == nil {
+		return time.Now()
+	}
+	return l.Now()
+}
+
 func (l Loop[T]) quiet() bool { return l.Quiet != nil && l.Quiet() }
 
 func (l Loop[T]) tick(now time.Time, t *ticks[T]) {
--- a/internal/port/controlmsg.go
+++ b/internal/port/controlmsg.go
@@ -55,6 +55,8 @@
 		Leases []state.Lease
 		// Voters lists the instances that take part in the control group.
 		Voters []model.InstanceID
+		// Learners lists the instances that hold the state and have no vote.
+		Learners []model.InstanceID
 		// Confirmed lists the revision that each live instance has in force. It is set in some
 		// answers only.
 		Confirmed []Confirmation
--- a/internal/port/controlstatus.go
+++ b/internal/port/controlstatus.go
@@ -11,6 +11,8 @@
 	Leader model.InstanceID
 	Leases []state.Lease
 	Voters []model.InstanceID
+	// Learners lists the instances that hold the state and have no vote.
+	Learners []model.InstanceID
 	// Confirmed lists the revision that each live instance has in force.
 	Confirmed []Confirmation
 }
--- a/internal/service/control/duty.go
+++ b/internal/service/control/duty.go
@@ -19,9 +19,9 @@
 		if !ok {
 			break
 		}
-		s.take(time.Now(), next)
+		s.take(s.set.Now(), next)
 	}
-	s.pump(time.Now())
+	s.pump(s.set.Now())
 }
 
 func (s *Service) onTick(now time.Time) {
@@ -32,6 +32,7 @@
 		}
 	}
 	s.expireAwaits(now)
+	s.reopen(now)
 	s.pump(now)
 }
 
@@ -91,6 +92,8 @@
 		s.fail(r.err)
 	case r.fresh != nil:
 		s.rejoin(now, r)
+	case r.reopened != nil:
+		s.resume(now, r)
 	default:
 		s.node.Synced(now, r.seq)
 		for len(s.ahead) > 0 && s.ahead[0] <= r.seq {
@@ -111,6 +114,9 @@
 // file is durable.
 func (s *Service) toSync(b *consensus.Batch) {
 	switch {
+	case s.failure.Load() != nil:
+		// Records of a failed log must not follow those of the folder that is opened again.
+		return
 	case b == nil:
 	case s.unsent == nil:
 		s.unsent = b
--- a/internal/service/control/faults_test.go
+++ b/internal/service/control/faults_test.go
@@ -165,7 +165,7 @@
 func (g *group) remote(id model.InstanceID) *controlclient.Remote {
 	g.t.Helper()
 	k := kernel.New(func(err error) { g.t.Error(err) })
-	r := controlclient.NewRemote(g.log(), g.initial, port.ConfirmWithin)
+	r := controlclient.NewRemote(g.log(), controlclient.RemoteOptions{Voters: g.initial, ConfirmWithin: port.ConfirmWithin})
 	for _, s := range []kernel.Service{g.hub.join(id), r} {
 		if err := k.Register(s); err != nil {
 			g.t.Fatal(err)
--- a/internal/service/control/folder.go
+++ b/internal/service/control/folder.go
@@ -121,17 +121,35 @@
 		}
 		return f.log.Append(payload)
 	}
-	s := &f.stored.Snapshot
+	if err := f.checkpoint(); err != nil {
+		return err
+	}
+	return storage.RemoveSnapshots(f.files, f.dir, f.stored.Snapshot.Index)
+}
+
+// checkpoint begins a new segment that holds everything stored.
+func (f *folder) checkpoint() error {
 	payload, err := consensuswire.EncodeBatch(&consensus.Batch{
-		Hard: &f.stored.Hard, Snapshot: s, Reset: true, Entries: f.stored.Entries,
+		Hard: &f.stored.Hard, Snapshot: &f.stored.Snapshot, Reset: true, Entries: f.stored.Entries,
 	})
 	if err != nil {
 		return err
 	}
-	if err := f.log.Checkpoint(payload); err != nil {
+	return f.log.Checkpoint(payload)
+}
+
+// clearFolder removes every file of a folder.
+func clearFolder(files storage.FS, dir string) error {
+	names, err := files.List(dir)
+	if err != nil {
 		return err
 	}
-	return storage.RemoveSnapshots(f.files, f.dir, s.Index)
+	for _, name := range names {
+		if err := files.Remove(filepath.Join(dir, name)); err != nil {
+			return err
+		}
+	}
+	return files.SyncDir(dir)
 }
 
 // empty removes everything and gives the folder a new incarnation. The identity goes first: a
--- a/internal/service/control/requests.go
+++ b/internal/service/control/requests.go
@@ -48,7 +48,7 @@
 func (s *Service) command(now time.Time, from model.InstanceID, m port.CommandRequest) {
 	r := request{from: from, id: m.ID, at: now}
 	switch c := m.Command.(type) {
-	case state.Lookup, state.ListChanges:
+	case state.Lookup, state.ListChanges, state.ReadConfig:
 		r.read = c
 		s.read(now, r)
 	case state.Await:
@@ -163,11 +163,16 @@
 		s.send(from, port.HeartbeatReply{Seq: h.Seq, NotLeader: true, Leader: s.leader()})
 		return
 	}
-	var voters []model.InstanceID
-	for _, v := range s.node.Status().Members.Voters() {
-		voters = append(voters, v.Instance)
+	var voters, learners []model.InstanceID
+	for _, r := range s.node.Status().Members.Members {
+		if r.Learner {
+			learners = append(learners, r.Instance)
+		} else {
+			voters = append(voters, r.Instance)
+		}
 	}
 	if reply, ok := s.sessions.Heartbeat(now, h, s.machine, voters); ok {
+		reply.Learners = learners
 		s.send(from, reply)
 	}
 }
--- a/internal/service/control/service.go
+++ b/internal/service/control/service.go
@@ -73,6 +73,8 @@
 	installing *consensus.Snapshot
 	backlog    []consensus.Entry
 	waiting    []consensus.Read
+	// reopenAt is when a failed voter opens its folder again; zero for never.
+	reopenAt time.Time
 }
 
 // New returns the service.
@@ -80,6 +82,9 @@
 	if set.Files == nil {
 		set.Files = storage.OS{}
 	}
+	if set.Now == nil {
+		set.Now = time.Now
+	}
 	return &Service{
 		set: set, codecs: codecs, sessions: sessions, log: log,
 		ring:    ring.New[message]("control", controlCapacity, ring.Refuse),
@@ -111,14 +116,14 @@
 // Start implements kernel.Service. It refuses a folder that is damaged or not this instance's.
 func (s *Service) Start(h *kernel.Host) (err error) {
 	began := time.Now()
-	if s.folder, err = openFolder(s.set.Files, s.set.Folder, s.set.Self); err != nil {
+	if s.folder, err = s.openFolder(); err != nil {
 		return err
 	}
 	stored := s.folder.stored
 	if s.machine, err = s.decodeSnapshot(stored.Snapshot); err != nil {
 		return &fault.UnusableFolder{Folder: s.set.Folder, Err: err}
 	}
-	s.begin(time.Now(), s.folder.identity, stored)
+	s.begin(s.set.Now(), s.folder.identity, stored)
 	id := s.folder.identity
 	s.log.Emit(event.ControlOpened, s.set.Folder, id.Folder, id.Boots, stored.Hard.Term,
 		s.node.Status().Last, stored.Snapshot.Index, time.Since(began))
@@ -126,19 +131,18 @@
 		h.Go("sync", s.runSync, s.syncs),
 		h.Go("snapshot", s.runSnapshot, s.snapshots),
 		h.Go("control", func(ctx context.Context, d *kernel.Duty) {
-			kernel.Loop[message]{Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick}.Run(ctx, d)
+			kernel.Loop[message]{Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, Now: s.set.Now}.Run(ctx, d)
 		}, s.ring))
 	return nil
 }
 
 // begin creates the node for the folder's current incarnation and start.
 func (s *Service) begin(now time.Time, id consensuswire.Identity, stored consensus.Stored) {
-	s.node = consensus.New(consensus.Settings{
-		Self: consensus.Member{Instance: id.Instance, Folder: id.Folder},
-		Boot: consensus.Boot{Counter: id.Boots, Nonce: rand.Uint64()},
-		Seed: rand.Uint64(), Group: rand.Uint64() | 1,
-		Trailing: consensus.TrailingEntries, Initial: s.set.Initial,
-	}, stored, now)
+	set := s.set.consensus()
+	set.Self = consensus.Member{Instance: id.Instance, Folder: id.Folder}
+	set.Boot = consensus.Boot{Counter: id.Boots, Nonce: rand.Uint64()}
+	set.Seed, set.Group = rand.Uint64(), rand.Uint64()|1
+	s.node = consensus.New(set, stored, now)
 	s.requests = newRequests()
 	s.unsent, s.ahead = nil, nil
 	s.installing, s.backlog, s.waiting, s.storedFile = nil, nil, nil, 0
--- a/internal/service/control/settings.go
+++ b/internal/service/control/settings.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"briaryard/internal/clock"
+	"briaryard/internal/decide/consensus"
 	"briaryard/internal/decide/state"
 	"briaryard/internal/model"
 	"briaryard/internal/port"
@@ -28,6 +30,9 @@
 	awaitTimeout = 10 * time.Second
 	// awaitLimit bounds the parked Awaits; further ones are answered at once.
 	awaitLimit = 16384
+	// reopenAfter is the pause before a voter whose log failed opens its folder again. Disks that
+	// were full or hung come back after seconds.
+	reopenAfter = 500 * time.Millisecond
 	// transferTimeout bounds the wait for another leader during a stop.
 	transferTimeout = 2 * time.Second
 )
@@ -43,6 +48,22 @@
 	Limits  state.Limits
 	// Files is the file system; nil means that of the operating system.
 	Files storage.FS
+	// Now is the clock of leases and elections; nil means time.Now.
+	Now clock.Clock
+	// Unattended keeps the voter going without an operator; nil leaves it to one.
+	Unattended *Unattended
+}
+
+// Unattended settings apply where no operator looks after the control group.
+type Unattended struct {
+	// Found lets this voter take part in founding the group.
+	Found bool
+	// Voters is the number of voters that the leader keeps.
+	Voters int
+	// CompactBytes and Trailing replace compactBytes and consensus.TrailingEntries where the
+	// entries are large and the disk is small.
+	CompactBytes int
+	Trailing     uint64
 }
 
 // Codecs convert commands, snapshots and the messages of internal/port/controlmsg.go.
@@ -66,3 +87,23 @@
 	// Tick returns commands to propose.
 	Tick(now time.Time, m *state.Machine) []state.Command
 }
+
+// compactBytes returns the size of the log after which a snapshot is made.
+func (s *Settings) compactBytes() int {
+	if s.Unattended != nil && s.Unattended.CompactBytes > 0 {
+		return s.Unattended.CompactBytes
+	}
+	return compactBytes
+}
+
+// consensus returns the settings of the node of a folder.
+func (s *Settings) consensus() consensus.Settings {
+	c := consensus.Settings{Trailing: consensus.TrailingEntries, Initial: s.Initial}
+	if u := s.Unattended; u != nil {
+		c.JoinOnly, c.Voters = !u.Found, u.Voters
+		if u.Trailing > 0 {
+			c.Trailing = u.Trailing
+		}
+	}
+	return c
+}
--- a/internal/service/control/snapshot.go
+++ b/internal/service/control/snapshot.go
@@ -85,7 +85,7 @@
 	case s.snapshotting:
 	case s.installing != nil:
 		s.snapshotting = s.snapshots.Offer(snapshotJob{received: s.installing, began: now}) == nil
-	case s.logged >= compactEntries || s.logBytes >= compactBytes:
+	case s.logged >= compactEntries || s.logBytes >= s.set.compactBytes():
 		s.snapshotting = s.snapshots.Offer(snapshotJob{machine: s.machine, view: s.machine.View(), began: now}) == nil
 		if s.snapshotting {
 			s.logged, s.logBytes = 0, 0
@@ -160,4 +160,8 @@
 		s.log.Emit(event.ControlFailed, err)
 	}
 	s.node.Fail()
+	s.unsent = nil
+	if s.set.Unattended != nil && s.reopenAt.IsZero() {
+		s.reopenAt = s.set.Now().Add(reopenAfter)
+	}
 }
--- a/internal/service/control/sync.go
+++ b/internal/service/control/sync.go
@@ -9,10 +9,12 @@
 	"briaryard/internal/wire/consensuswire"
 )
 
-// job is work for the sync duty: a batch, or to empty the folder.
+// job is work for the sync duty: a batch, or to empty the folder, or to open it again after a
+// failure.
 type job struct {
-	batch *consensus.Batch
-	empty bool
+	batch  *consensus.Batch
+	empty  bool
+	reopen bool
 }
 
 // report tells the control duty how far the log is durable.
@@ -21,6 +23,8 @@
 	err error
 	// fresh is set after the folder was emptied.
 	fresh *consensuswire.Identity
+	// reopened is what the folder holds after it was opened again.
+	reopened *reopened
 }
 
 // runSync is the sync duty. It writes all batches that wait with one sync.
@@ -32,7 +36,7 @@
 			if !ok {
 				break
 			}
-			if next.empty {
+			if next.empty || next.reopen {
 				j = next
 				break
 			}
@@ -56,6 +60,9 @@
 		id := s.folder.identity
 		return report{fresh: &id}
 	}
+	if j.reopen {
+		return s.openAgain()
+	}
 	if last.err != nil {
 		return last
 	}
--- a/internal/wire/controlwire/codec.go
+++ b/internal/wire/controlwire/codec.go
@@ -66,6 +66,9 @@
 	for _, v := range b.Voters {
 		m.Voters = append(m.Voters, string(v))
 	}
+	for _, l := range b.Learners {
+		m.Learners = append(m.Learners, string(l))
+	}
 	for _, c := range b.Confirmed {
 		m.Confirmed = append(m.Confirmed, &controlpb.Confirmation{
 			Instance: string(c.Instance), Revision: uint64(c.Revision), Stopping: c.Stopping})
@@ -113,13 +116,16 @@
 		config := c.config(v.GetConfig())
 		r.Config = &config
 	}
-	if len(v.GetVoters()) > maxInstances || len(v.GetConfirmed()) > maxInstances {
+	if len(v.GetVoters()) > maxInstances || len(v.GetLearners()) > maxInstances || len(v.GetConfirmed()) > maxInstances {
 		c.fail("too many instances")
 		return r
 	}
 	for _, id := range v.GetVoters() {
 		r.Voters = append(r.Voters, c.instance(id))
 	}
+	for _, id := range v.GetLearners() {
+		r.Learners = append(r.Learners, c.instance(id))
+	}
 	for _, f := range v.GetConfirmed() {
 		r.Confirmed = append(r.Confirmed, port.Confirmation{
 			Instance: c.instance(f.GetInstance()), Revision: model.Revision(f.GetRevision()), Stopping: f.GetStopping()})
--- a/internal/wire/controlwire/command.go
+++ b/internal/wire/controlwire/command.go
@@ -79,6 +79,13 @@
 	if c, ok := c.(state.ListChanges); ok {
 		return &controlpb.Command{Command: &controlpb.Command_ListChanges{ListChanges: &controlpb.ListChanges{Before: uint64(c.Before)}}}, nil
 	}
+	if c, ok := c.(state.ReplaceConfig); ok {
+		return &controlpb.Command{Command: &controlpb.Command_ReplaceConfig{ReplaceConfig: &controlpb.ReplaceConfig{
+			Number: uint64(c.Number), Content: c.Content}}}, nil
+	}
+	if _, ok := c.(state.ReadConfig); ok {
+		return &controlpb.Command{Command: &controlpb.Command_ReadConfig{ReadConfig: &controlpb.ReadConfig{}}}, nil
+	}
 	return nil, &EncodeError{Value: c, Reason: "unknown command"}
 }
 
@@ -117,6 +124,12 @@
 	if v := m.GetChangeVoters(); v != nil {
 		return state.ChangeVoters{Instance: c.instance(v.GetInstance()), Remove: v.GetRemove()}
 	}
+	if v := m.GetReplaceConfig(); v != nil {
+		return state.ReplaceConfig{Number: model.Revision(v.GetNumber()), Content: c.content(v.GetContent())}
+	}
+	if m.GetReadConfig() != nil {
+		return state.ReadConfig{}
+	}
 	if v := m.GetListChanges(); v != nil {
 		return state.ListChanges{Before: model.Revision(v.GetBefore())}
 	}
