Tell how old an instance's knowledge of the configuration is

Cause: a key that an operator took away must not pass anywhere after a fixed time, also at an instance that was cut off or suspended. A flag that is updated on ticks says this too late.

Change: the control client publishes the send time of the heartbeat that confirmed a revision, by a clock that can count suspended time. The interval of heartbeats is an option. An instance whose time of day went back between two starts takes an incarnation above the one that others know, if it is told to.

Ruled out: the age of the answer, which says nothing about a leader that was deposed while the answer was on its way.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -17,7 +17,7 @@
 	if initial != nil {
 		return controlclient.NewLocal(i.leaseHolder, i.incarnation, initial)
 	}
-	return controlclient.NewRemote(l, i.settings.voters(), i.settings.ConfirmWithin)
+	return controlclient.NewRemote(l, controlclient.RemoteOptions{Voters: i.settings.voters(), ConfirmWithin: i.settings.ConfirmWithin})
 }
 
 // voter provides the voter service on instances with a data folder.
--- a/internal/decide/controlcall/effect.go
+++ b/internal/decide/controlcall/effect.go
@@ -56,6 +56,13 @@
 // configuration recently enough.
 type PublishConfirmed struct{ OK bool }
 
+// PublishAsOf states that a configuration was the accepted one at a time: that at which the answered
+// heartbeat was sent.
+type PublishAsOf struct {
+	Revision model.Revision
+	At       time.Time
+}
+
 // LeasesReleased ends a Release. Err is set if leases could not be released in time.
 type LeasesReleased struct{ Err error }
 
@@ -68,5 +75,6 @@
 func (PublishLeases) effect()    {}
 func (PublishConfig) effect()    {}
 func (PublishConfirmed) effect() {}
+func (PublishAsOf) effect()      {}
 func (LeasesReleased) effect()   {}
 func (LeaderChanged) effect()    {}
--- a/internal/decide/controlcall/heartbeat.go
+++ b/internal/decide/controlcall/heartbeat.go
@@ -231,6 +231,7 @@
 	if r.Config != nil && r.Config.Revision > b.offered {
 		b.offered = r.Config.Revision
 		m.emit(PublishConfig{Config: *r.Config})
+		m.emit(PublishAsOf{Revision: r.Config.Revision, At: sent.at})
 	}
 	if sent.revision != r.Revision {
 		// A revision above the group's belongs to an earlier group: this one was founded anew
@@ -238,6 +239,7 @@
 		return
 	}
 	b.confirmed = sent.at
+	m.emit(PublishAsOf{Revision: sent.revision, At: sent.at})
 	if !b.confirmedNow {
 		b.confirmedNow = true
 		m.emit(PublishConfirmed{OK: true})
--- a/internal/decide/controlcall/machine.go
+++ b/internal/decide/controlcall/machine.go
@@ -50,6 +50,9 @@
 	Lease session.Options
 	// ConfirmWithin is the time without confirmation after which the instance withdraws.
 	ConfirmWithin time.Duration
+	// TargetSilent is how long a voter may be silent before another one is asked; zero means
+	// targetSilent.
+	TargetSilent time.Duration
 }
 
 type call struct {
@@ -98,6 +101,9 @@
 		m.target = m.voters[0]
 	}
 	m.targetSince = now
+	if m.options.TargetSilent == 0 {
+		m.options.TargetSilent = targetSilent
+	}
 	m.emit(PublishConfirmed{OK: false})
 	return m
 }
@@ -173,7 +179,7 @@
 	if m.hint != "" && now.Sub(m.followed) >= followInterval {
 		m.follow(now, m.hint)
 	}
-	if now.Sub(m.heard) >= targetSilent && now.Sub(m.targetSince) >= targetSilent {
+	if silent := m.options.TargetSilent; now.Sub(m.heard) >= silent && now.Sub(m.targetSince) >= silent {
 		m.suspect, m.suspectUntil = m.target, now.Add(suspectFor)
 		m.follow(now, m.nextVoter(now))
 	}
--- a/internal/port/control.go
+++ b/internal/port/control.go
@@ -57,3 +57,17 @@
 	// ConfirmConfig reports the revision that this instance has in force.
 	ConfirmConfig(r model.Revision)
 }
+
+// ConfigAsOf states that a revision was the accepted one at a time, by the clock of the control
+// client.
+type ConfigAsOf struct {
+	Revision model.Revision
+	At       time.Time
+}
+
+// ConfigFreshness is implemented by control clients that tell how old their knowledge of the
+// configuration is.
+type ConfigFreshness interface {
+	// SubscribeAsOf registers a receiver. It is called during Provision.
+	SubscribeAsOf(sink func(ConfigAsOf))
+}
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"briaryard/internal/clock"
 	"briaryard/internal/decide/controlcall"
 	"briaryard/internal/decide/session"
 	"briaryard/internal/decide/state"
@@ -45,13 +46,13 @@
 // Remote reaches the control group through peers.
 type Remote struct {
 	log      *event.Log
-	voters   []model.InstanceID
-	within   time.Duration
+	options  RemoteOptions
 	ring     *ring.Ring[remoteMessage]
 	peers    port.Peers
 	leases   []func([]port.Lease)
 	configs  []func(state.AcceptedConfig)
 	confirm  []func(bool)
+	asOf     []func(port.ConfigAsOf)
 	statuses []func(port.ControlStatus)
 	// waiting and waitingBytes count the commands from Do to their answer.
 	waiting      atomic.Int64
@@ -66,11 +67,28 @@
 	confirmations []port.Confirmation
 }
 
-// NewRemote returns the service. It asks the given voters until an answer names the current
-// ones. confirmWithin is the time without confirmation after which the instance withdraws.
-func NewRemote(log *event.Log, voters []model.InstanceID, confirmWithin time.Duration) *Remote {
+// RemoteOptions are the settings of Remote.
+type RemoteOptions struct {
+	// Voters are asked until an answer names the current ones.
+	Voters []model.InstanceID
+	// ConfirmWithin is the time without confirmation after which the instance withdraws.
+	ConfirmWithin time.Duration
+	// HeartbeatInterval is the time between heartbeats; zero means port.HeartbeatInterval.
+	HeartbeatInterval time.Duration
+	// Now is the clock that confirmations are counted by; nil means time.Now.
+	Now clock.Clock
+}
+
+// NewRemote returns the service.
+func NewRemote(log *event.Log, o RemoteOptions) *Remote {
+	if o.HeartbeatInterval == 0 {
+		o.HeartbeatInterval = port.HeartbeatInterval
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	return &Remote{
-		log: log, voters: voters, within: confirmWithin,
+		log: log, options: o,
 		// Commands and replies are refused when the ring is full; both are tried again by
 		// their senders. Confirm and release happen once, so they wait for room.
 		ring:    ring.New[remoteMessage]("controlclient", ringCapacity, ring.Block),
@@ -104,23 +122,24 @@
 
 func (r *Remote) run(ctx context.Context, d *kernel.Duty) {
 	self, incarnation := r.peers.Self()
-	now := time.Now()
+	now := r.options.Now()
 	r.machine = controlcall.New(now, controlcall.Options{
-		Self: self, Incarnation: incarnation, Voters: r.voters,
-		HeartbeatInterval: port.HeartbeatInterval, HolderInterval: port.HolderInterval, ConfirmWithin: r.within,
-		Lease: session.Options{LeaseDuration: port.LeaseDuration, DriftPercent: port.MaxClockDrift},
+		Self: self, Incarnation: incarnation, Voters: r.options.Voters,
+		HeartbeatInterval: r.options.HeartbeatInterval, HolderInterval: port.HolderInterval, ConfirmWithin: r.options.ConfirmWithin,
+		TargetSilent: 2 * r.options.HeartbeatInterval,
+		Lease:        session.Options{LeaseDuration: port.LeaseDuration, DriftPercent: port.MaxClockDrift},
 	})
 	r.onTick(now)
 	kernel.Loop[remoteMessage]{
 		Ring: r.ring, Tick: controlcall.Tick, Handle: r.handle, OnTick: r.onTick,
-		Quiet: func() bool { return r.machine.Quiet(time.Now()) }, QuietTick: controlcall.QuietTick,
+		Quiet: func() bool { return r.machine.Quiet(r.options.Now()) }, QuietTick: controlcall.QuietTick, Now: r.options.Now,
 	}.Run(ctx, d)
 	for {
 		m, ok := r.ring.TryGet()
 		if !ok {
 			break
 		}
-		r.handle(time.Now(), m)
+		r.handle(r.options.Now(), m)
 	}
 	r.perform(r.machine.Close())
 }
@@ -158,6 +177,8 @@
 		}
 	case state.ApplyConfig:
 		return int64(len(c.Content))
+	case state.ReplaceConfig:
+		return int64(len(c.Content))
 	}
 	return 0
 }
@@ -173,6 +194,9 @@
 // SubscribeConfirmed implements port.ControlClient.
 func (r *Remote) SubscribeConfirmed(sink func(bool)) { r.confirm = append(r.confirm, sink) }
 
+// SubscribeAsOf implements port.ConfigFreshness.
+func (r *Remote) SubscribeAsOf(sink func(port.ConfigAsOf)) { r.asOf = append(r.asOf, sink) }
+
 // ReleaseLeases implements port.ControlClient.
 func (r *Remote) ReleaseLeases(done func()) {
 	if r.ring.Put(context.Background(), release{done}) != nil {
@@ -230,6 +254,8 @@
 		_ = r.peers.Send(e.To, port.ControlName, port.CommandRequest{ID: e.ID, Command: e.Command})
 	case controlcall.SendHeartbeat:
 		h := e.Heartbeat
+		// The peers service raises the incarnation when others know a later one of this instance.
+		_, h.Incarnation = r.peers.Self()
 		_ = r.peers.Send(e.To, port.ControlName, port.Heartbeat{Seq: e.Seq, Instance: h.Instance,
 			Incarnation: h.Incarnation, Revision: h.Revision, Holds: h.Holds, Stopping: h.Stopping})
 	case controlcall.Answer:
@@ -240,6 +266,10 @@
 		for _, sink := range r.configs {
 			sink(e.Config)
 		}
+	case controlcall.PublishAsOf:
+		for _, sink := range r.asOf {
+			sink(port.ConfigAsOf{Revision: e.Revision, At: e.At})
+		}
 	case controlcall.PublishConfirmed:
 		r.publishConfirmed(e.OK)
 	case controlcall.LeasesReleased:
--- a/internal/service/controlclient/remote_test.go
+++ b/internal/service/controlclient/remote_test.go
@@ -115,7 +115,7 @@
 	v.requests = make(map[uint64]int)
 	log := event.New(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	c := &client{
-		Remote: controlclient.NewRemote(log, []model.InstanceID{"v1"}, 5*time.Second), voters: v,
+		Remote: controlclient.NewRemote(log, controlclient.RemoteOptions{Voters: []model.InstanceID{"v1"}, ConfirmWithin: 5 * time.Second}), voters: v,
 		leases: make(chan []port.Lease, 1000), confirmed: make(chan bool, 1000), configs: make(chan state.AcceptedConfig, 1000),
 	}
 	c.SubscribeLeases(func(l []port.Lease) { c.leases <- l })
--- a/internal/service/controlclient/status.go
+++ b/internal/service/controlclient/status.go
@@ -29,7 +29,7 @@
 	if b.Confirmed != nil {
 		r.confirmations = b.Confirmed
 	}
-	status := port.ControlStatus{Leader: leader, Leases: b.Leases, Voters: b.Voters, Confirmed: r.confirmations}
+	status := port.ControlStatus{Leader: leader, Leases: b.Leases, Voters: b.Voters, Learners: b.Learners, Confirmed: r.confirmations}
 	for _, sink := range r.statuses {
 		sink(status)
 	}
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -43,6 +43,9 @@
 	// ServerTLS and ClientTLS protect the connections; nil for plain connections.
 	ServerTLS *tls.Config
 	ClientTLS func() *tls.Config
+	// RaiseIncarnation makes the instance take an incarnation above one that others know of it. It
+	// is for instances whose time of day can go back between two starts and which cannot run twice.
+	RaiseIncarnation bool
 	// Metrics, if set, takes the counters of what is sent.
 	Metrics *metric.Set
 }
@@ -239,6 +242,13 @@
 
 // superseded records that a later run of this instance is known.
 func (s *Service) superseded(known model.Incarnation) {
+	if s.options.RaiseIncarnation {
+		if uint64(known) >= s.incarnation.Load() {
+			s.incarnation.Store(uint64(known) + 1)
+			s.log.Emit(event.IncarnationRaised, s.options.Self.ID, uint64(known)+1)
+		}
+		return
+	}
 	if s.known.Swap(uint64(known)) != uint64(known) {
 		s.log.Emit(event.IncarnationUsed, s.options.Self.ID, known)
 	}
