Decide about routed requests in pure step machines

Cause: the users' platform routes by host and path, limits teams in tokens over the whole fleet, and says by the kind of a request whether it may be repeated. Requests carry no idempotency key there, so that nothing needs a claim: the instance that took a request owns it and sends it to one server at a time.

Ruled out: the dispatcher with a lease for each pool that the project's own front ends use.

--- /dev/null
+++ b/internal/decide/allotment/bucket.go
@@ -0,0 +1,138 @@
+package allotment
+
+import (
+	"time"
+
+	"briaryard/internal/model"
+)
+
+// Tolerance is how far the fleet may exceed a limit.
+type Tolerance struct {
+	// Overage is a part of the limit, Slack is in tokens. Both hold for one window.
+	Overage, Slack float64
+}
+
+const (
+	// usedOverage and usedSlack are the parts of the tolerance that one set of buckets uses, so that
+	// a caller at its limit is not refused for the timing of a request. The rest covers a change of
+	// the dispatcher and instances that decide alone.
+	usedOverage = 0.3
+	usedSlack   = 0.25
+	// startLevel is the part of a bucket that a new set begins with: what its predecessor let
+	// through just before is not known.
+	startLevel = 0.5
+)
+
+// Limits holds a bucket for each team.
+type Limits struct {
+	tolerance Tolerance
+	// share is the part of each limit that this set hands out.
+	share   float64
+	buckets map[model.TeamID]*bucket
+}
+
+type bucket struct {
+	allotment model.Allotment
+	rate      float64
+	capacity  float64
+	level     float64
+	at        time.Time
+}
+
+// New returns limits that hand out a share, from 0 to 1, of each team's allotment.
+func New(t Tolerance, share float64) *Limits {
+	return &Limits{tolerance: t, share: share, buckets: make(map[model.TeamID]*bucket)}
+}
+
+// SetShare changes the share.
+func (l *Limits) SetShare(now time.Time, share float64) {
+	if share == l.share {
+		return
+	}
+	l.share = share
+	for _, b := range l.buckets {
+		l.resize(now, b, b.allotment)
+	}
+}
+
+// SetTeams takes the teams of a configuration. The level of a bucket is kept up to its new
+// capacity, so that a lowered limit binds at once.
+func (l *Limits) SetTeams(now time.Time, teams []model.RoutedTeam) {
+	kept := make(map[model.TeamID]*bucket, len(teams))
+	for i := range teams {
+		a := teams[i].Allotment
+		if a == nil {
+			continue
+		}
+		b := l.buckets[teams[i].ID]
+		if b == nil {
+			b = &bucket{at: now}
+			l.resize(now, b, *a)
+			b.level = b.capacity * startLevel
+		} else if b.allotment != *a {
+			l.resize(now, b, *a)
+		}
+		kept[teams[i].ID] = b
+	}
+	l.buckets = kept
+}
+
+func (l *Limits) resize(now time.Time, b *bucket, a model.Allotment) {
+	b.fill(now)
+	b.allotment = a
+	more := 1 + l.tolerance.Overage*usedOverage
+	b.rate = a.Rate * more * l.share
+	b.capacity = (a.Burst*more + l.tolerance.Slack*usedSlack*slackUnit(a)) * l.share
+	b.level = min(b.level, b.capacity)
+}
+
+// slackUnit converts the slack, which is in tokens, for limits that count requests.
+func slackUnit(a model.Allotment) float64 {
+	if a.CountTokens {
+		return 1
+	}
+	return 0
+}
+
+func (b *bucket) fill(now time.Time) {
+	if d := now.Sub(b.at); d > 0 {
+		b.level = min(b.level+b.rate*d.Seconds(), b.capacity)
+		b.at = now
+	}
+}
+
+// Take charges a request with a number of tokens. If the limit is reached it charges nothing and
+// returns the time until there is room.
+func (l *Limits) Take(now time.Time, team model.TeamID, tokens int) (wait time.Duration, ok bool) {
+	b := l.buckets[team]
+	if b == nil {
+		return 0, true
+	}
+	b.fill(now)
+	cost := b.allotment.Cost(tokens)
+	// A request above the whole capacity passes when the bucket is full: it would never otherwise.
+	if b.level >= min(cost, b.capacity) {
+		b.level -= cost
+		return 0, true
+	}
+	if b.rate <= 0 {
+		return time.Minute, false
+	}
+	return time.Duration((min(cost, b.capacity) - b.level) / b.rate * float64(time.Second)), false
+}
+
+// Refund gives back what a request was charged that has not run.
+func (l *Limits) Refund(now time.Time, team model.TeamID, tokens int) {
+	if b := l.buckets[team]; b != nil {
+		b.fill(now)
+		b.level = min(b.level+b.allotment.Cost(tokens), b.capacity)
+	}
+}
+
+// Charge takes what was let through elsewhere, also beyond the level.
+func (l *Limits) Charge(now time.Time, team model.TeamID, tokens int) {
+	if b := l.buckets[team]; b != nil {
+		b.fill(now)
+		b.level -= b.allotment.Cost(tokens)
+	}
+}
--- /dev/null
+++ b/internal/decide/relay/admit.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"time"
+
+	"briaryard/internal/decide/routing"
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+)
+
+// Arrival is a request as its caller sent it.
+type Arrival struct {
+	ID      model.RequestID
+	Attempt string
+	// Host, Path and Key select the route and the team.
+	Host, Path, Key string
+	// Timeout is the time that the caller waits; zero if it states none.
+	Timeout                  time.Duration
+	Prompt, Output, Expected int
+	Model                    string
+	Domain                   model.FailureDomain
+	// Point chooses among the services of a split route; see routing.Service.
+	Point float64
+}
+
+// Admission is what an arrival is judged by.
+type Admission struct {
+	// Table is nil while no configuration is known.
+	Table *routing.Table
+	// AsOf is when the table was last known to be the accepted one, and Lease how long that counts.
+	AsOf  time.Time
+	Lease time.Duration
+}
+
+// Current reports whether the table may be acted on. A key that was taken away must not pass after
+// its time, so a table that may have been replaced longer ago than the lease decides nothing.
+func (a *Admission) Current(now time.Time) bool {
+	return a.Table != nil && now.Sub(a.AsOf) < a.Lease
+}
+
+// Admit finds the route, the service and the team of an arrival.
+func (a *Admission) Admit(now time.Time, r *Arrival) (Request, fault.Fault) {
+	if a.Table == nil {
+		return Request{}, &fault.Unconfirmed{}
+	}
+	revision := a.Table.Revision()
+	if !a.Current(now) {
+		return Request{}, &fault.Unconfirmed{Revision: revision, Age: now.Sub(a.AsOf)}
+	}
+	route, ok := a.Table.Route(r.Host, r.Path)
+	if !ok {
+		return Request{}, &fault.UnknownRoute{Host: r.Host, Path: r.Path, Revision: revision}
+	}
+	var team model.TeamID
+	if a.Table.NeedsKey(route) {
+		t, ok := a.Table.Team(r.Key)
+		if !ok {
+			return Request{}, &fault.UnknownKey{Missing: r.Key == "", Revision: revision}
+		}
+		team = t.ID
+	}
+	left := route.Timeout
+	if r.Timeout > 0 && r.Timeout < left {
+		left = r.Timeout
+	}
+	return Request{
+		ID: r.ID, Attempt: r.Attempt, Route: route, Service: routing.Service(route, r.Point), Team: team, Revision: revision,
+		Arrived: now, Deadline: now.Add(left), Prompt: r.Prompt, Output: r.Output, Expected: r.Expected,
+		Model: r.Model, Domain: r.Domain,
+	}, nil
+}
--- /dev/null
+++ b/internal/decide/routing/table.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"briaryard/internal/model"
+)
+
+// Table answers lookups by one configuration.
+type Table struct {
+	Document *model.Document
+	// hosts holds the routes of each host, longest prefix first.
+	hosts map[string][]*model.HTTPRoute
+	teams map[string]*model.RoutedTeam
+}
+
+// New returns the table of a configuration.
+func New(d *model.Document) *Table {
+	t := &Table{Document: d, hosts: make(map[string][]*model.HTTPRoute), teams: make(map[string]*model.RoutedTeam)}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *model.HTTPRoute) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range d.Teams {
+		for _, key := range d.Teams[i].Keys {
+			t.teams[key] = &d.Teams[i]
+		}
+	}
+	return t
+}
+
+// Revision returns the revision of the configuration.
+func (t *Table) Revision() model.Revision { return t.Document.Revision }
+
+// Route returns the route with the longest prefix of the path. The host may carry a port.
+func (t *Table) Route(host, path string) (*model.HTTPRoute, bool) {
+	host, _, _ = strings.Cut(host, ":")
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// NeedsKey reports whether requests on a route must carry a key.
+func (t *Table) NeedsKey(r *model.HTTPRoute) bool { return len(t.Document.Teams) > 0 && !r.Public }
+
+// Team returns the team that holds a key.
+func (t *Table) Team(key string) (*model.RoutedTeam, bool) {
+	team, ok := t.teams[key]
+	return team, ok
+}
+
+// Service chooses a service of a route. The point is between 0 and 1; equally spread points give
+// each service its share.
+func Service(r *model.HTTPRoute, point float64) model.PoolID {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := int(point * float64(total))
+	for _, s := range r.Split {
+		if left < s.Weight {
+			return s.Service
+		}
+		left -= s.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -56,6 +56,8 @@
 	// Pools are the models or the plain service that it serves.
 	Pools    []PoolID
 	Adapters []string
+	// Models are the names of the models that a routed engine serves; empty for any.
+	Models []string
 	// Slots is the number of requests that it runs at once.
 	Slots int
 	// Generation names the hardware generation; speeds are learned per generation.
