Serve routed requests with services that find each other by name

Change: topology keeps the connections to the core instances, routes holds the configuration, registry and roster the records of backend servers and instances, scheduler decides for the fleet at the leader of the control group, allocate and relay own the requests of an instance, backend.http calls the servers, presence starts and stops, logwriter writes lines without holding up who logs. Each has its duties and bounded rings; the bytes of an answer go from the duty of its call to the caller's ring.

Ruled out: net/http's client for the calls. It may send a request again by itself, and takes an answer that comes late on a kept connection for the next request's. Its parser of answers is used.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,8 @@
 // Log writes events.
 type Log struct {
 	out *slog.Logger
+	// streams is set if nothing is kept for operators.
+	streams bool
 
 	mu     sync.Mutex
 	recent []Record
@@ -58,8 +60,14 @@
 // New returns a log that writes through the logger.
 func New(out *slog.Logger) *Log { return &Log{out: out} }
 
+// NewStream returns a log that keeps no events: its lines are all there is.
+func NewStream(out *slog.Logger) *Log { return &Log{out: out, streams: true} }
+
 // Emit writes an event. The values belong to the event's fields, in order.
 func (l *Log) Emit(d Def, values ...any) {
+	if l.streams && !l.out.Enabled(context.Background(), d.Level) {
+		return
+	}
 	attrs := make([]slog.Attr, 0, len(values)+1)
 	attrs = append(attrs, slog.Int("event", d.Number))
 	for i, v := range values {
@@ -68,7 +76,9 @@
 		}
 	}
 	l.out.LogAttrs(context.Background(), d.Level, d.Name, attrs...)
-	l.keep(d, values)
+	if !l.streams {
+		l.keep(d, values)
+	}
 }
 
 func (l *Log) keep(d Def, values []any) {
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -10,6 +10,8 @@
 		"The instance began its graceful stop.", "instance")
 	ProcessStopped = define(103, slog.LevelInfo, "process.stopped",
 		"The instance has stopped.", "instance", "exit_code")
+	SettingsChanged = define(108, slog.LevelInfo, "process.settings_changed",
+		"The process was told that its settings have changed; contacts are read again when they are needed.", "instance")
 	DutyPanicked = define(104, slog.LevelError, "duty.panicked",
 		"A duty panicked; the process ends because the state of the duty can no longer be trusted.", "error", "stack")
 	ListenerOpened = define(105, slog.LevelInfo, "listener.opened",
--- a/internal/httpserve/problem.go
+++ b/internal/httpserve/problem.go
@@ -34,7 +34,7 @@
 // WriteProblem answers with the problem document of a failure.
 func WriteProblem(w http.ResponseWriter, f fault.Fault, request string) {
 	p := ProblemOf(f, request)
-	if after := fault.RetryAfterOf(f); after > 0 {
+	if after := fault.RetryAfterOf(f); after > 0 && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
--- /dev/null
+++ b/internal/service/allocate/service.go
@@ -0,0 +1,207 @@
+package allocate
+
+import (
+	"context"
+	"time"
+
+	"briaryard/internal/clock"
+	"briaryard/internal/decide/allocate"
+	"briaryard/internal/decide/allotment"
+	"briaryard/internal/decide/roster"
+	"briaryard/internal/decide/schedule"
+	"briaryard/internal/event"
+	"briaryard/internal/kernel"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/ring"
+	"briaryard/internal/wire/routedwire"
+)
+
+const (
+	// ringCapacity is above the messages of all requests that relay admits at once. So neither of
+	// the two duties, which wait for room with each other, ever finds the other's ring full.
+	ringCapacity = 8192
+	// tick bounds how late the silence of the dispatcher is noticed.
+	tick = 25 * time.Millisecond
+	// quietTick is the interval while nothing waits for the dispatcher.
+	quietTick = 250 * time.Millisecond
+)
+
+type message any
+
+type ask struct{ want schedule.Want }
+
+type withdraw struct{ id model.RequestID }
+
+type servers struct{ records []model.BackendServer }
+
+// Service allocates for this instance.
+type Service struct {
+	log   *event.Log
+	ring  *ring.Ring[message]
+	peers port.Peers
+	sink  func(port.Allocation)
+
+	// The fields below belong to the allocate duty.
+	machine  *allocate.Machine
+	revision model.Revision
+}
+
+// New returns the service.
+func New(log *event.Log, t allotment.Tolerance) *Service {
+	return &Service{
+		log: log, ring: ring.New[message]("allocate", ringCapacity, ring.Block), machine: allocate.New(t),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return port.AllocateName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{port.PeersName, port.RoutesName, port.RegistryName, port.RosterName, port.ControlClientName}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(r kernel.Resolver) error {
+	var links port.PeerLinks
+	var routes port.Routes
+	var registry port.Registry
+	var instances port.Roster
+	var status port.ControlObserver
+	err := r.Bind(kernel.Into(port.PeersName, &s.peers), kernel.Into(port.PeersName, &links),
+		kernel.Into(port.RoutesName, &routes), kernel.Into(port.RegistryName, &registry),
+		kernel.Into(port.RosterName, &instances), kernel.Into(port.ControlClientName, &status))
+	if err != nil {
+		return err
+	}
+	s.peers.Handle(port.AllocateName, routedwire.Codec{}, func(m port.PeerMessage) error { return s.ring.Offer(m) })
+	links.SubscribeStatus(func(st port.PeerStatus) error { return s.ring.Offer(st) })
+	routes.SubscribeViews(func(v port.View) { s.put(v) })
+	registry.SubscribeServers(func(list []model.BackendServer) { s.put(servers{list}) })
+	instances.SubscribeInstances(func(l *roster.Lists) { s.put(l) })
+	// A status is sent again with each heartbeat, so that a lost one does no harm.
+	status.SubscribeStatus(func(st port.ControlStatus) { _ = s.ring.Offer(st) })
+	return nil
+}
+
+func (s *Service) put(m message) { _ = s.ring.Put(context.Background(), m) }
+
+// Start implements kernel.Service.
+func (s *Service) Start(h *kernel.Host) error {
+	h.Go("allocate", kernel.Loop[message]{
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, QuietTick: quietTick, Quiet: s.machine.Quiet, Now: clock.Boot,
+	}.Run, s.ring)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.ring.Close()
+	return nil
+}
+
+// AttachDecisions implements port.Allocator.
+func (s *Service) AttachDecisions(sink func(port.Allocation)) { s.sink = sink }
+
+// Ask implements port.Allocator.
+func (s *Service) Ask(w schedule.Want) { s.put(ask{w}) }
+
+// Withdraw implements port.Allocator.
+func (s *Service) Withdraw(id model.RequestID) { s.put(withdraw{id}) }
+
+// Report implements port.Allocator.
+func (s *Service) Report(r schedule.Report) { s.put(r) }
+
+func (s *Service) handle(now time.Time, m message) {
+	switch m := m.(type) {
+	case ask:
+		s.machine.Ask(now, m.want)
+	case withdraw:
+		s.machine.Withdraw(now, m.id)
+	case schedule.Report:
+		s.machine.Report(now, m)
+	case port.View:
+		if m.Table.Revision() > s.revision {
+			s.revision = m.Table.Revision()
+			s.machine.SetDocument(now, m.Table.Document)
+		}
+	case servers:
+		s.machine.SetServers(now, m.records)
+	case *roster.Lists:
+		s.machine.SetInstances(now, len(m.All()))
+	case port.ControlStatus:
+		s.machine.SetDispatcher(now, m.Leader)
+	case port.PeerStatus:
+		s.status(now, m)
+	case port.PeerMessage:
+		s.receive(now, m)
+	}
+	s.perform(now)
+}
+
+func (s *Service) onTick(now time.Time) {
+	s.machine.Tick(now)
+	s.perform(now)
+}
+
+func (s *Service) status(now time.Time, st port.PeerStatus) {
+	switch st.State {
+	case port.PeerDown, port.PeerSilent:
+		s.machine.Unreachable(now, st.Instance.ID)
+	case port.PeerReset:
+		s.machine.Reset(now, st.Instance.ID)
+	case port.PeerUp, port.PeerHeard:
+	}
+}
+
+func (s *Service) receive(now time.Time, m port.PeerMessage) {
+	self, _ := s.peers.Self()
+	switch b := m.Body.(type) {
+	case port.JoinedMessage:
+		s.machine.Joined(now, m.From, b.Session)
+	case port.VerdictMessage:
+		b.Decision.ID.Instance = self
+		s.machine.Verdict(now, m.From, b.Session, b.Decision)
+	case port.BeatMessage:
+		s.machine.Heard(now, m.From, b.Session)
+	}
+}
+
+// perform carries out effects until there are none: a message that cannot be sent leads to others.
+func (s *Service) perform(now time.Time) {
+	for effects := s.machine.Take(); len(effects) > 0; effects = s.machine.Take() {
+		for _, e := range effects {
+			s.performOne(now, e)
+		}
+	}
+}
+
+func (s *Service) performOne(now time.Time, e allocate.Effect) {
+	switch e := e.(type) {
+	case allocate.Join:
+		s.send(now, e.To, port.JoinMessage{Session: e.Session})
+	case allocate.Account:
+		s.send(now, e.To, port.AccountMessage{Session: e.Session, Works: e.Works})
+	case allocate.Ask:
+		w := &e.Want
+		s.send(now, e.To, port.AskMessage{
+			Session: e.Session, Want: *w, Waited: now.Sub(w.Arrived), OnTimeIn: w.OnTime.Sub(now), Until: w.Until.Sub(now),
+		})
+	case allocate.Withdraw:
+		s.send(now, e.To, port.WithdrawAskMessage{Session: e.Session, ID: e.ID})
+	case allocate.Tell:
+		s.send(now, e.To, port.OutcomeMessage{Session: e.Session, Report: e.Report})
+	case allocate.Decided:
+		s.sink(port.Allocation{Decision: e.Decision, Alone: e.Alone})
+	case allocate.Followed:
+		s.log.Emit(event.AllocateFollows, e.Dispatcher, e.Reason)
+	}
+}
+
+func (s *Service) send(now time.Time, to model.InstanceID, body any) {
+	if err := s.peers.Send(to, port.SchedulerName, body); err != nil {
+		s.log.Emit(event.PeerMessageLost, to, port.SchedulerName, err.Error())
+		s.machine.Unreachable(now, to)
+	}
+}
--- /dev/null
+++ b/internal/service/logwriter/service.go
@@ -0,0 +1,94 @@
+package logwriter
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"briaryard/internal/event"
+	"briaryard/internal/kernel"
+	"briaryard/internal/metric"
+	"briaryard/internal/ring"
+)
+
+const (
+	// ringCapacity bounds the lines that wait, about 1 MB.
+	ringCapacity = 4096
+	// batch bounds the lines of one write.
+	batch = 256
+)
+
+// Name is the service's name.
+const Name = "log"
+
+// Service writes lines.
+type Service struct {
+	out     io.Writer
+	ring    *ring.Ring[[]byte]
+	metrics *metric.Set
+	log     *event.Log
+	dropped atomic.Int64
+	duty    *kernel.Duty
+}
+
+// New returns the service; it writes to out. Lines that come before Start wait.
+func New(out io.Writer) *Service {
+	return &Service{out: out, ring: ring.New[[]byte]("log", ringCapacity, ring.Refuse)}
+}
+
+// Report sets where left out lines are reported. It is called before Start.
+func (s *Service) Report(log *event.Log, m *metric.Set) { s.log, s.metrics = log, m }
+
+// Write implements io.Writer. It never waits and never fails.
+func (s *Service) Write(line []byte) (int, error) {
+	if s.ring.Offer(bytes.Clone(line)) != nil {
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return nil }
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(kernel.Resolver) error { return nil }
+
+// Start implements kernel.Service.
+func (s *Service) Start(h *kernel.Host) error {
+	s.duty = h.Go("log", kernel.Loop[[]byte]{Ring: s.ring, Handle: s.handle}.Run, s.ring)
+	return nil
+}
+
+// Stop implements kernel.Service. It writes what waits.
+func (s *Service) Stop(context.Context) error {
+	s.duty.End()
+	for {
+		line, ok := s.ring.TryGet()
+		if !ok {
+			return nil
+		}
+		s.handle(time.Time{}, line)
+	}
+}
+
+// handle writes a line and those that wait behind it.
+func (s *Service) handle(_ time.Time, line []byte) {
+	for range batch - 1 {
+		next, ok := s.ring.TryGet()
+		if !ok {
+			break
+		}
+		line = append(line, next...)
+	}
+	// A log that cannot be written has no other place to say so.
+	_, _ = s.out.Write(line)
+	if n := s.dropped.Swap(0); n > 0 && s.log != nil {
+		s.metrics.Counter(metric.LogLinesDropped, "").Inc(n)
+		s.log.Emit(event.LogDropped, n)
+	}
+}
--- /dev/null
+++ b/internal/service/relay/service.go
@@ -0,0 +1,287 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"briaryard/internal/clock"
+	"briaryard/internal/decide/relay"
+	"briaryard/internal/decide/retry"
+	"briaryard/internal/decide/roster"
+	"briaryard/internal/event"
+	"briaryard/internal/fault"
+	"briaryard/internal/kernel"
+	"briaryard/internal/metric"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/ring"
+)
+
+const (
+	ringCapacity = 8192
+	// maxOpen bounds the requests of this instance. Each of them has at most four messages in a
+	// ring at a time, so that the rings between the duties never fill.
+	maxOpen = 1500
+	// tick bounds how late a request whose time is over gets its final answer.
+	tick = 20 * time.Millisecond
+	// quietTick is the interval while no request is open.
+	quietTick = 500 * time.Millisecond
+)
+
+// Options are the settings of the service.
+type Options struct {
+	Domain model.FailureDomain
+	// Lease is how long a configuration counts that was known to be the accepted one.
+	Lease   time.Duration
+	Retries retry.Limit
+}
+
+type message any
+
+type gone struct{ id model.RequestID }
+
+type drain struct{ done func() }
+
+type closing struct{ on bool }
+
+// Service owns requests.
+type Service struct {
+	log      *event.Log
+	metrics  *metric.Set
+	options  Options
+	ring     *ring.Ring[message]
+	peers    port.Peers
+	allocate port.Allocator
+	backend  port.HTTPBackend
+	next     atomic.Uint64
+
+	// The fields below belong to the relay duty.
+	machine     *relay.Machine
+	admission   relay.Admission
+	submissions map[model.RequestID]*port.RoutedSubmission
+	requests    map[model.RequestID]*relay.Request
+	closed      bool
+	drains      []func()
+}
+
+// New returns the service.
+func New(log *event.Log, m *metric.Set, o Options) *Service {
+	return &Service{
+		log: log, metrics: m, options: o, ring: ring.New[message]("relay", ringCapacity, ring.Block),
+		machine: relay.New(retry.New(o.Retries)), admission: relay.Admission{Lease: o.Lease},
+		submissions: make(map[model.RequestID]*port.RoutedSubmission), requests: make(map[model.RequestID]*relay.Request),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return port.RelayName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{port.PeersName, port.RoutesName, port.RosterName, port.AllocateName, port.HTTPBackendName}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(r kernel.Resolver) error {
+	var routes port.Routes
+	var instances port.Roster
+	err := r.Bind(kernel.Into(port.PeersName, &s.peers), kernel.Into(port.RoutesName, &routes),
+		kernel.Into(port.RosterName, &instances), kernel.Into(port.AllocateName, &s.allocate),
+		kernel.Into(port.HTTPBackendName, &s.backend))
+	if err != nil {
+		return err
+	}
+	routes.SubscribeViews(func(v port.View) { s.put(v) })
+	instances.SubscribeInstances(func(l *roster.Lists) { s.put(l) })
+	s.allocate.AttachDecisions(func(a port.Allocation) { s.put(a) })
+	s.backend.AttachCalls(func(e relay.CallEvent) { s.put(e) })
+	return nil
+}
+
+func (s *Service) put(m message) { _ = s.ring.Put(context.Background(), m) }
+
+// Start implements kernel.Service.
+func (s *Service) Start(h *kernel.Host) error {
+	h.Go("relay", kernel.Loop[message]{
+		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, QuietTick: quietTick, Now: clock.Boot,
+		Quiet: func() bool { return s.machine.Open() == 0 },
+	}.Run, s.ring)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.ring.Close()
+	return nil
+}
+
+// NewRoutedID implements port.Relay.
+func (s *Service) NewRoutedID() model.RequestID {
+	id, incarnation := s.peers.Self()
+	return model.RequestID{Instance: id, Incarnation: incarnation, Seq: s.next.Add(1)}
+}
+
+// SubmitRouted implements port.Relay.
+func (s *Service) SubmitRouted(sub port.RoutedSubmission) error { return s.ring.Offer(&sub) }
+
+// CallerLeft implements port.Relay.
+func (s *Service) CallerLeft(id model.RequestID) { s.put(gone{id}) }
+
+// SetClosing implements port.Relay.
+func (s *Service) SetClosing(on bool) { s.put(closing{on}) }
+
+// DrainRouted implements port.Relay.
+func (s *Service) DrainRouted(done func()) { s.put(drain{done}) }
+
+func (s *Service) handle(now time.Time, m message) {
+	switch m := m.(type) {
+	case *port.RoutedSubmission:
+		s.submit(now, m)
+	case gone:
+		s.machine.Gone(now, m.id)
+	case port.Allocation:
+		s.machine.Decided(now, m.Decision, m.Alone)
+	case relay.CallEvent:
+		s.machine.Called(now, m)
+	case port.View:
+		s.admission.Table, s.admission.AsOf = m.Table, m.AsOf
+	case *roster.Lists:
+		s.machine.SetInstances(len(m.All()))
+	case closing:
+		s.closed = m.on
+	case drain:
+		s.drains = append(s.drains, m.done)
+	}
+	s.perform(now)
+}
+
+func (s *Service) onTick(now time.Time) {
+	s.machine.Tick(now)
+	s.perform(now)
+	s.metrics.Gauge(metric.RoutedOpen, "").Update(int64(s.machine.Open()))
+}
+
+func (s *Service) submit(now time.Time, sub *port.RoutedSubmission) {
+	r, f := s.admit(now, sub)
+	if f != nil {
+		s.refuse(now, sub, f)
+		return
+	}
+	s.submissions[sub.ID], s.requests[sub.ID] = sub, &r
+	s.machine.Arrive(now, r)
+}
+
+func (s *Service) admit(now time.Time, sub *port.RoutedSubmission) (relay.Request, fault.Fault) {
+	switch {
+	case s.closed:
+		return relay.Request{}, &fault.InstanceClosing{}
+	case s.machine.Open() >= maxOpen:
+		return relay.Request{}, &fault.NotServed{Reason: "too many requests are open at this instance", Wait: time.Second}
+	}
+	return s.admission.Admit(now, &relay.Arrival{
+		ID: sub.ID, Attempt: sub.Attempt, Host: sub.Call.Host, Path: sub.Path, Key: sub.Key, Timeout: sub.Timeout,
+		Prompt: sub.Prompt, Output: sub.Output, Expected: sub.Expected, Model: sub.Model,
+		Domain: s.options.Domain, Point: rand.Float64(),
+	})
+}
+
+// refuse gives a submission the final answer of this instance.
+func (s *Service) refuse(now time.Time, sub *port.RoutedSubmission, f fault.Fault) {
+	m := fault.MappingOf(f)
+	s.log.Emit(event.RoutedRefused, sub.ID.String(), sub.Attempt, string(m.Code), m.RunState.String(), f.Error(), s.revision(), now.Sub(s.admission.AsOf))
+	s.metrics.Counter(metric.RoutedRequests, string(m.Code)).Inc(1)
+	s.give(sub, port.RoutedEvent{Kind: port.RoutedRefused, Err: f})
+}
+
+func (s *Service) revision() model.Revision {
+	if s.admission.Table == nil {
+		return 0
+	}
+	return s.admission.Table.Revision()
+}
+
+// give puts a whole answer in the caller's ring, which is empty: nothing else was given before.
+func (s *Service) give(sub *port.RoutedSubmission, e port.RoutedEvent) { _ = sub.Events.Offer(e) }
+
+func (s *Service) perform(now time.Time) {
+	for _, e := range s.machine.Take() {
+		s.performOne(now, e)
+	}
+	if s.machine.Open() == 0 {
+		for _, done := range s.drains {
+			done()
+		}
+		s.drains = nil
+	}
+}
+
+func (s *Service) performOne(now time.Time, e relay.Effect) {
+	switch e := e.(type) {
+	case relay.Ask:
+		s.allocate.Ask(e.Want)
+	case relay.Withdraw:
+		s.allocate.Withdraw(e.ID)
+	case relay.Report:
+		s.allocate.Report(e.Report)
+	case relay.Open:
+		s.open(now, e)
+	case relay.Cancel:
+		s.backend.CancelCall(e.ID, e.Send)
+	case relay.Deliver:
+		if sub := s.submissions[e.ID]; sub != nil {
+			s.give(sub, port.RoutedEvent{Kind: port.RoutedWhole, Answer: e.Answer})
+		}
+	case relay.Refuse:
+		if sub := s.submissions[e.ID]; sub != nil {
+			s.refuse(now, sub, e.Fault)
+		}
+	case relay.Abort:
+		s.abort(e)
+	case relay.Again:
+		s.again(e)
+	case relay.Ended:
+		s.ended(e)
+	}
+}
+
+func (s *Service) open(now time.Time, e relay.Open) {
+	sub, r := s.submissions[e.ID], s.requests[e.ID]
+	s.log.Emit(event.RoutedSent, e.ID.String(), sub.Attempt, e.Send, e.Server.ID, e.Server.Address, e.Server.Sequence,
+		e.Waited, e.Until.Sub(now), e.Alone, r.Revision)
+	s.backend.OpenCall(port.HTTPOutbound{
+		ID: e.ID, Send: e.Send, Attempt: sub.Attempt, Server: e.Server, Team: r.Team, Call: &sub.Call, Until: e.Until,
+		Stream: r.Route.Kind == model.KindStream, Resume: e.Resume, LastEvent: e.LastEvent, Events: sub.Events,
+	})
+}
+
+func (s *Service) abort(e relay.Abort) {
+	sub := s.submissions[e.ID]
+	if sub == nil {
+		return
+	}
+	m := fault.MappingOf(e.Fault)
+	s.log.Emit(event.RoutedCut, e.ID.String(), sub.Attempt, string(m.Code), e.Fault.Error())
+	// The front end finds the ring closed without a last event.
+	sub.Events.Close()
+}
+
+func (s *Service) again(e relay.Again) {
+	cause := ""
+	if e.Cause != nil {
+		cause = e.Cause.Error()
+	}
+	s.log.Emit(event.RoutedAgain, e.ID.String(), s.requests[e.ID].Attempt, e.Server, e.Kind.String(), cause)
+}
+
+func (s *Service) ended(e relay.Ended) {
+	delete(s.submissions, e.ID)
+	delete(s.requests, e.ID)
+	r := e.Request
+	s.log.Emit(event.RoutedEnded, e.ID.String(), r.Attempt, r.Route.Name, r.Team, e.Server, e.Sends, e.Result, e.First, e.Took)
+	if e.Result == "answered" {
+		s.metrics.Counter(metric.RoutedRequests, e.Result).Inc(1)
+		s.metrics.Histogram(metric.RoutedFirst, r.Route.Kind.String()).Update(e.First.Microseconds())
+	}
+}
