Run on the users' platform through an adapter in platform/

Change: platform/ reads the settings file and the configuration document, and serves callers, backend servers and operators by the platform's names.

Ruled out: one process for all.

--- a/cmd/briaryard/main.go
+++ b/cmd/briaryard/main.go
@@ -17,19 +17,20 @@
 type commands struct {
 	Output string `help:"Form of answers: text for people, json for programs." enum:"text,json" default:"text" env:"BRIARYARD_OUTPUT"`
 
-	Serve   serveCommand   `cmd:"" group:"Run" help:"Run one instance."`
-	Dev     devCommand     `cmd:"" group:"Run" help:"Run an instance with stand-in backend servers, to try briaryard out."`
-	Config  configCommands `cmd:"" group:"Operate" help:"Check and change the fleet configuration."`
-	Status  statusCommand  `cmd:"" group:"Operate" help:"Show health, revisions, leases, members and duties."`
-	Explain explainCommand `cmd:"" group:"Operate" help:"Show the decisions about one request."`
-	Drain   drainCommand   `cmd:"" group:"Operate" help:"Stop an instance gracefully: it cuts off no answer."`
-	Voters  votersCommands `cmd:"" group:"Operate" help:"List and change the voters of the control group."`
-	Metrics metricsCommand `cmd:"" group:"Operate" help:"Show the metrics of an instance."`
-	Events  eventsCommand  `cmd:"" group:"Look up" help:"List the log events with their numbers."`
-	Errors  errorsCommand  `cmd:"" group:"Look up" help:"List the failures with status, run state and exit code."`
-	Version versionCommand `cmd:"" group:"Look up" help:"Show the version of this program."`
-	Load    loadCommand    `cmd:"" group:"Test" help:"Load a fleet on loopback and judge its answers."`
-	Bench   benchCommand   `cmd:"" group:"Test" help:"Measure what an instance adds to a call, in one process."`
+	Serve    serveCommand    `cmd:"" group:"Run" help:"Run one instance."`
+	Platform platformCommand `cmd:"" group:"Run" help:"Run one process on the users' platform, with its settings file."`
+	Dev      devCommand      `cmd:"" group:"Run" help:"Run an instance with stand-in backend servers, to try briaryard out."`
+	Config   configCommands  `cmd:"" group:"Operate" help:"Check and change the fleet configuration."`
+	Status   statusCommand   `cmd:"" group:"Operate" help:"Show health, revisions, leases, members and duties."`
+	Explain  explainCommand  `cmd:"" group:"Operate" help:"Show the decisions about one request."`
+	Drain    drainCommand    `cmd:"" group:"Operate" help:"Stop an instance gracefully: it cuts off no answer."`
+	Voters   votersCommands  `cmd:"" group:"Operate" help:"List and change the voters of the control group."`
+	Metrics  metricsCommand  `cmd:"" group:"Operate" help:"Show the metrics of an instance."`
+	Events   eventsCommand   `cmd:"" group:"Look up" help:"List the log events with their numbers."`
+	Errors   errorsCommand   `cmd:"" group:"Look up" help:"List the failures with status, run state and exit code."`
+	Version  versionCommand  `cmd:"" group:"Look up" help:"Show the version of this program."`
+	Load     loadCommand     `cmd:"" group:"Test" help:"Load a fleet on loopback and judge its answers."`
+	Bench    benchCommand    `cmd:"" group:"Test" help:"Measure what an instance adds to a call, in one process."`
 
 	Standin standinCommand `cmd:"" hidden:"" help:"Run a stand-in backend server."`
 }
--- /dev/null
+++ b/cmd/briaryard/platform.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"briaryard/internal/app"
+	"briaryard/platform"
+)
+
+// platformCommand runs one process of a fleet on the users' platform.
+type platformCommand struct {
+	Role     string `arg:"" help:"What the process does: entry takes requests, core is a member of the control group." enum:"entry,core"`
+	Settings string `help:"File with the platform's settings." env:"BRIARYARD_BOOT" required:""`
+	LogLevel string `help:"Lowest level of log events: debug, info, warn or error." env:"BRIARYARD_LOG_LEVEL" default:"info" enum:"debug,info,warn,error"`
+}
+
+// Run implements the command.
+func (c *platformCommand) Run() error {
+	s, faults := platform.ReadSettings(c.Settings, c.Role)
+	for _, f := range faults {
+		fmt.Fprintln(os.Stderr, f)
+	}
+	if len(faults) > 0 {
+		return faults[0]
+	}
+	if err := s.LogLevel.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		return err
+	}
+	code, err := app.NewRouted(s.RoutedSettings, os.Stdout, platform.Adapter(&s)).Run(context.Background())
+	exitCode = code
+	return err
+}
