--- a/internal/decide/allocate/machine.go
+++ b/internal/decide/allocate/machine.go
@@ -252,7 +252,7 @@
 	delete(m.asks, d.ID)
 	if !d.Denied {
 		w := schedule.Work{
-			ID: d.ID, Service: a.want.Service, Server: d.Server.ID, Team: a.want.Team,
+			ID: d.ID, Service: a.want.Service, Server: d.Server.ID, Team: a.want.Team, Rank: a.want.Rank,
 			Prompt: a.want.Prompt, Output: a.want.Output, Expected: a.want.Expected,
 		}
 		m.works[d.ID] = w
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -204,7 +204,9 @@
 		return
 	}
 	s.wants[w.ID] = q
-	v.rank(w.Rank).add(q)
+	r := v.rank(w.Rank)
+	r.add(q)
+	r.arrivals.add(now, q.work)
 	s.decide(now, v)
 }
 
@@ -252,7 +254,7 @@
 func (v *service) rank(number int) *rank {
 	at, found := slices.BinarySearchFunc(v.ranks, number, func(r *rank, n int) int { return cmp.Compare(r.number, n) })
 	if !found {
-		v.ranks = slices.Insert(v.ranks, at, &rank{number: number})
+		v.ranks = slices.Insert(v.ranks, at, newRank(number))
 	}
 	return v.ranks[at]
 }
@@ -323,6 +325,7 @@
 	delete(s.works, w.ID)
 	v := s.service(w.Service)
 	v.running--
+	v.rank(w.Rank).running--
 	if b.record.State == model.Gone && len(b.works) == 0 {
 		v.drop(b)
 	}
@@ -344,6 +347,7 @@
 	b.begin(now, w, v.plainOr(&w))
 	s.works[w.ID] = b
 	v.running++
+	v.rank(w.Rank).running++
 }
 
 func (v *service) plainOr(w *Work) time.Duration {
--- a/internal/decide/schedule/types.go
+++ b/internal/decide/schedule/types.go
@@ -87,6 +87,7 @@
 	Service  model.PoolID
 	Server   model.BackendServerID
 	Team     model.TeamID
+	Rank     int
 	Prompt   int
 	Output   int
 	Expected int
--- a/internal/wire/routedwire/codec.go
+++ b/internal/wire/routedwire/codec.go
@@ -68,7 +68,7 @@
 	for _, w := range m.Works {
 		a.Works = append(a.Works, &pb.Work{
 			Id: idOut(w.ID), Service: string(w.Service), Server: string(w.Server), Team: string(w.Team),
-			Prompt: int64(w.Prompt), Output: int64(w.Output), Expected: int64(w.Expected), Started: w.Started,
+			Prompt: int64(w.Prompt), Output: int64(w.Output), Expected: int64(w.Expected), Started: w.Started, Rank: int64(w.Rank),
 		})
 	}
 	return a
@@ -188,7 +188,7 @@
 		m.Works = append(m.Works, schedule.Work{
 			ID: idIn(w.GetId()), Service: model.PoolID(w.GetService()), Server: model.BackendServerID(w.GetServer()),
 			Team: model.TeamID(w.GetTeam()), Prompt: int(w.GetPrompt()), Output: int(w.GetOutput()),
-			Expected: int(w.GetExpected()), Started: w.GetStarted(),
+			Expected: int(w.GetExpected()), Started: w.GetStarted(), Rank: int(w.GetRank()),
 		})
 	}
 	return m, nil
