--- a/internal/decide/schedule/order.go
+++ b/internal/decide/schedule/order.go
@@ -9,8 +9,8 @@
 	// shortFirst is the part of its expected work by which a request goes behind others of its
 	// rank, and maxBehind the most. Short requests first serve more callers under overload; the
 	// bound keeps a long one from waiting until its time runs out.
-	shortFirst = 0.5
-	maxBehind  = 1200 * time.Millisecond
+	shortFirst = 1.0
+	maxBehind  = 2200 * time.Millisecond
 )
 
 // waiting is a request in the order of a service.
@@ -125,16 +125,24 @@
 
 func (r *rank) len() int { return r.timely.len() + r.late.len() }
 
+// place sets the times of a request in its group.
+func (w *waiting) place() {
+	behind := min(time.Duration(shortFirst*float64(w.work)), maxBehind)
+	w.leaves = w.OnTime
+	if w.late {
+		w.leaves = w.Until
+	}
+	w.key = w.leaves.Add(behind)
+}
+
 func (r *rank) add(w *waiting) {
 	r.work += w.work
-	behind := min(time.Duration(shortFirst*float64(w.work)), maxBehind)
+	w.place()
 	if w.late {
-		w.key, w.leaves = w.Until.Add(behind), w.Until
 		r.late.add(w)
-		return
+	} else {
+		r.timely.add(w)
 	}
-	w.key, w.leaves = w.OnTime.Add(behind), w.OnTime
-	r.timely.add(w)
 }
 
 func (r *rank) remove(w *waiting) {
@@ -171,6 +179,24 @@
 	return nil
 }
 
+// ahead returns the expected work of the requests of the rank that go before another one of it.
+func (r *rank) ahead(w *waiting) time.Duration {
+	var sum time.Duration
+	for _, o := range r.timely.queues[byKey].list {
+		if w.late || o.key.Before(w.key) {
+			sum += o.work
+		}
+	}
+	if w.late {
+		for _, o := range r.late.queues[byKey].list {
+			if o.key.Before(w.key) {
+				sum += o.work
+			}
+		}
+	}
+	return sum
+}
+
 // inOrder visits the requests that come first in the order, at most limit of each group.
 func (r *rank) inOrder(limit int, visit func(*waiting) bool) bool {
 	for _, g := range []*group{&r.timely, &r.late} {
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -17,7 +17,7 @@
 	lookAhead = 8
 	// queueMargin is how far the expected wait must exceed a request's time before it is refused on
 	// arrival. Estimates of lengths are off by a factor of two.
-	queueMargin = 1.5
+	queueMargin = 1.2
 	// minRetryAfter keeps callers that are refused from coming back at once.
 	minRetryAfter = 200 * time.Millisecond
 	// noServerWait is how long a request waits for a backend server when there is none.
@@ -198,9 +198,12 @@
 		w.Admitted = true
 	}
 	q := &waiting{Want: w, work: v.expect(&w), late: !now.Before(w.OnTime)}
-	if wait := v.wait(q) / s.slots(now, v); len(s.wants) >= maxWaiting || wait > time.Duration(queueMargin*float64(w.Until.Sub(now))) {
+	q.place()
+	wait, left := v.wait(q)/s.slots(now, v), w.Until.Sub(now)
+	if len(s.wants) >= maxWaiting || wait > time.Duration(queueMargin*float64(left)) {
 		s.refund(now, &w)
-		s.deny(now, v, &w, DeniedQueue, wait/2)
+		// When it comes back, the queue should be short enough for half of its time.
+		s.deny(now, v, &w, DeniedQueue, spread(w.ID, wait-left/2))
 		return
 	}
 	s.wants[w.ID] = q
@@ -233,13 +236,23 @@
 func (v *service) wait(q *waiting) time.Duration {
 	var sum time.Duration
 	for _, r := range v.ranks {
-		if r.number <= q.Rank {
+		switch {
+		case r.number < q.Rank:
 			sum += r.work
+		case r.number == q.Rank:
+			sum += r.ahead(q)
 		}
 	}
 	return sum
 }
 
+// spread varies a time by a quarter in both directions, so that callers who are refused together do
+// not come back together.
+func spread(id model.RequestID, d time.Duration) time.Duration {
+	const steps = 64
+	return d * time.Duration(3*steps/4+id.Seq*29%steps/2) / steps
+}
+
 // slots returns the slots of the service that this scheduler may use, as a divisor of durations.
 func (s *Scheduler) slots(now time.Time, v *service) time.Duration {
 	total := 0
--- a/internal/service/peers/conn.go
+++ b/internal/service/peers/conn.go
@@ -43,10 +43,11 @@
 	// greeting is written before anything else.
 	greeting []byte
 
-	session *yamux.Session
-	stream  *yamux.Stream
-	reader  *bufio.Reader
-	once    sync.Once
+	transport net.Conn
+	session   *yamux.Session
+	stream    *yamux.Stream
+	reader    *bufio.Reader
+	once      sync.Once
 }
 
 func sessionConfig() *yamux.Config {
@@ -67,10 +68,10 @@
 	}
 	stream, err := session.OpenStream()
 	if err != nil {
-		_ = session.Close()
+		_ = transport.Close()
 		return nil, err
 	}
-	return &conn{dialed: true, session: session, stream: stream, reader: bufio.NewReader(stream)}, nil
+	return &conn{dialed: true, transport: transport, session: session, stream: stream, reader: bufio.NewReader(stream)}, nil
 }
 
 // acceptConn makes a connection from a transport that another instance dialed.
@@ -79,17 +80,19 @@
 	if err != nil {
 		return nil, err
 	}
-	timer := time.AfterFunc(handshakeTimeout, func() { _ = session.Close() })
+	timer := time.AfterFunc(handshakeTimeout, func() { _ = transport.Close() })
 	defer timer.Stop()
 	stream, err := session.AcceptStream()
 	if err != nil {
-		_ = session.Close()
+		_ = transport.Close()
 		return nil, err
 	}
-	return &conn{session: session, stream: stream, reader: bufio.NewReader(stream)}, nil
+	return &conn{transport: transport, session: session, stream: stream, reader: bufio.NewReader(stream)}, nil
 }
 
-func (c *conn) close() { c.once.Do(func() { _ = c.session.Close() }) }
+// close closes what is below the session, which then ends by itself. If the session were closed first,
+// a reader of the stream would spin until the session's own reader has ended.
+func (c *conn) close() { c.once.Do(func() { _ = c.transport.Close() }) }
 
 func (c *conn) write(data []byte) error {
 	_ = c.stream.SetWriteDeadline(time.Now().Add(silentAfter))
