Hold requests for the first configuration and learn slow engines sooner

An election began 0.5 to 1 s late when the first pre-vote came to a member in the first 0.5 s of its start.

Change: a request waits up to 1.2 s, or 0.3 of its time, for the first configuration of an instance that has just started. Pre-votes are asked for again every 150 ms. An engine without a finished answer is expected to be as slow with answers as with prompts.

--- a/internal/decide/consensus/election.go
+++ b/internal/decide/consensus/election.go
@@ -16,6 +16,13 @@
 	n.becomeFollower(now, n.hard.Term, Member{})
 	n.role = PreCandidate
 	n.heard = now
+	n.askPreVotes(now)
+}
+
+// askPreVotes asks, or asks again: a member that started with the others refuses to answer for the
+// first MinElection, and an election timeout more would be lost.
+func (n *Node) askPreVotes(now time.Time) {
+	n.asked = now
 	n.askVotes(now, MsgPreVote, n.hard.Term+1, false)
 }
 
--- a/internal/decide/consensus/node.go
+++ b/internal/decide/consensus/node.go
@@ -47,6 +47,8 @@
 	// count on MinElection without a vote by this node.
 	promised time.Time
 	votes    map[Member]bool
+	// asked is when pre-votes were last asked for.
+	asked time.Time
 	incoming Snapshot
 
 	joinedAt  time.Time
@@ -138,8 +140,11 @@
 		}
 		return
 	}
-	if now.Sub(n.heard) >= n.timeout && now.Sub(n.started) >= n.timeout {
+	switch {
+	case now.Sub(n.heard) >= n.timeout && now.Sub(n.started) >= n.timeout:
 		n.preCampaign(now)
+	case n.role == PreCandidate && now.Sub(n.asked) >= preVoteAgain:
+		n.askPreVotes(now)
 	}
 }
 
--- a/internal/decide/consensus/types.go
+++ b/internal/decide/consensus/types.go
@@ -21,6 +21,10 @@
 	// passed at any member, because 400 ms * 1.01 < 500 ms * 0.99.
 	LeaseDuration = 400 * time.Millisecond
 
+	// preVoteAgain is the interval in which pre-votes are asked for again. They change nothing at the
+	// members that answer.
+	preVoteAgain = 150 * time.Millisecond
+
 	// appendBytes and appendInflight bound what a leader sends to one member ahead of its
 	// acknowledgements to about 2 MiB, unless single entries are larger.
 	appendBytes    = 256 << 10
--- a/internal/decide/relay/admit.go
+++ b/internal/decide/relay/admit.go
@@ -10,7 +10,9 @@
 
 // Arrival is a request as its caller sent it.
 type Arrival struct {
-	ID      model.RequestID
+	ID model.RequestID
+	// At is the time of the arrival; zero means now.
+	At      time.Time
 	Attempt string
 	// Host, Path and Key select the route and the team.
 	Host, Path, Key string
@@ -59,13 +61,17 @@
 		}
 		team = t.ID
 	}
+	arrived := r.At
+	if arrived.IsZero() {
+		arrived = now
+	}
 	left := route.Timeout
 	if r.Timeout > 0 && r.Timeout < left {
 		left = r.Timeout
 	}
 	return Request{
 		ID: r.ID, Attempt: r.Attempt, Route: route, Service: routing.Service(route, r.Point), Team: team, Revision: revision,
-		Arrived: now, Deadline: now.Add(left), Prompt: r.Prompt, Output: r.Output, Expected: r.Expected,
+		Arrived: arrived, Deadline: arrived.Add(left), Prompt: r.Prompt, Output: r.Output, Expected: r.Expected,
 		Model: r.Model, Domain: r.Domain,
 	}, nil
 }
--- a/internal/decide/relay/machine_test.go
+++ b/internal/decide/relay/machine_test.go
@@ -285,3 +285,26 @@
 	_, f = a.Admit(start, &relay.Arrival{Host: "h", Path: "/y/", Key: "k"})
 	g.Expect(f.Code()).To(Equal(fault.CodeUnknownRoute))
 }
+
+// Guards, after a loss of the whole fleet, against callers that are refused while the first
+// configuration is on its way, and against requests that are held for longer than that is worth.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	var h relay.Held
+	g.Expect(h.Add(start, id, 1500*time.Millisecond)).To(BeTrue())
+	long := id
+	long.Seq = 2
+	g.Expect(h.Add(start, long, 15*time.Second)).To(BeTrue())
+	var released []uint64
+	take := func(r model.RequestID, arrived time.Time) {
+		g.Expect(arrived).To(Equal(start))
+		released = append(released, r.Seq)
+	}
+	h.Release(start.Add(440*time.Millisecond), false, take)
+	g.Expect(released).To(BeEmpty())
+	h.Release(start.Add(460*time.Millisecond), false, take)
+	g.Expect(released).To(Equal([]uint64{1}))
+	h.Release(start.Add(500*time.Millisecond), true, take)
+	g.Expect(released).To(Equal([]uint64{1, 2}))
+	g.Expect(h.Len()).To(BeZero())
+}
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -176,6 +176,31 @@
 	return sum / time.Duration(len(v.list))
 }
 
+// maxGuess bounds how far a guess of a server's time for an event is from the mean.
+const maxGuess = 3
+
+// guessDecode sets the time for an event of a server that has not finished an answer yet: an engine
+// that is slow with prompts is as slow with answers, which may take ten seconds to show.
+func (v *service) guessDecode(b *server) {
+	if b.engine == nil || b.decoded > 0 {
+		return
+	}
+	var prefill, decode, known time.Duration
+	for _, o := range v.list {
+		prefill += o.prefill
+		if o.decoded > 0 {
+			decode += o.decode
+			known++
+		}
+	}
+	mean := defaultDecode
+	if known > 0 {
+		mean = decode / known
+	}
+	ratio := float64(b.prefill) * float64(len(v.list)) / float64(max(prefill, 1))
+	b.decode = time.Duration(float64(mean) * min(max(ratio, 1.0/maxGuess), maxGuess))
+}
+
 func (v *service) drop(b *server) {
 	delete(v.servers, b.record.ID)
 	v.list = slices.DeleteFunc(v.list, func(o *server) bool { return o == b })
@@ -310,6 +335,7 @@
 	w := b.works[r.ID]
 	if r.Outcome == Began {
 		b.began(now, w, r.First)
+		s.service(w.Service).guessDecode(b)
 		s.decide(now, s.service(w.Service))
 		return
 	}
--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -241,3 +241,86 @@
 	s.Ask(start, other)
 	g.Expect(granted(s.Take())).To(HaveLen(1))
 }
+
+// Guards, in the first seconds, against long answers on engines that turn out to be slow only when
+// the answers end.
+func TestSlowPromptsShowASlowEngine(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(2, 0)
+	now := start
+	for i := range 6 {
+		now = now.Add(500 * time.Millisecond)
+		for n := range 2 {
+			s.Ask(now, want(uint64(10*i+n), "llm", 1, now))
+		}
+		for _, d := range granted(s.Take()) {
+			first := 20 * time.Millisecond
+			if d.Server.ID == "e1" {
+				first = 100 * time.Millisecond
+			}
+			s.Report(now, schedule.Report{ID: d.ID, Server: d.Server.ID, Outcome: schedule.Began, First: first})
+			// The answers go on; the slots are freed by their callers.
+			s.Report(now, schedule.Report{ID: d.ID, Server: d.Server.ID, Outcome: schedule.Cancelled})
+		}
+	}
+	s.Adopt(now, schedule.Work{ID: model.RequestID{Instance: "x", Seq: 1}, Service: "llm", Server: "e0", Prompt: 2000})
+	long := want(500, "llm", 1, now)
+	long.Expected, long.Output = 1800, 2800
+	s.Ask(now, long)
+	d := granted(s.Take())
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Server.ID).To(Equal(model.BackendServerID("e0")))
+}
+
+// Guards, under a burst of chats whose answers take seconds, against urgent requests that find no
+// free slot: what their arrivals need is kept free.
+func TestSlotsAreKeptForUrgentArrivals(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(5, 0)
+	now := start
+	var running []schedule.Decision
+	for i := range 40 {
+		now = now.Add(25 * time.Millisecond)
+		s.Ask(now, want(uint64(i), "llm", 0, now))
+		running = append(running, granted(s.Take())...)
+		for len(running) > 3 {
+			finish(s, now, running[0])
+			running = running[1:]
+		}
+	}
+	for _, d := range running {
+		finish(s, now, d)
+	}
+	s.Take()
+	for i := range 30 {
+		s.Ask(now, want(uint64(1000+i), "llm", 2, now))
+	}
+	chats := len(granted(s.Take()))
+	g.Expect(chats).To(And(BeNumerically(">", 5), BeNumerically("<", 10)), "of 10 slots")
+	s.Ask(now, want(2000, "llm", 0, now))
+	g.Expect(granted(s.Take())).To(HaveLen(1))
+}
+
+// Guards, under overload, against a kind of which few callers are served because the longest answers
+// take the slots, and against long ones that are never served.
+func TestShortAnswersGoFirstWithinBounds(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(1, 0)
+	for i := range 2 {
+		s.Ask(start, want(uint64(i), "llm", 2, start))
+	}
+	running := granted(s.Take())
+	long := want(10, "llm", 2, start)
+	long.Expected, long.End = 2000, start.Add(time.Minute)
+	s.Ask(start, long)
+	now := start.Add(100 * time.Millisecond)
+	s.Ask(now, want(11, "llm", 2, now))
+	finish(s, now, running[0])
+	next := granted(s.Take())
+	g.Expect(next[0].ID.Seq).To(Equal(uint64(11)))
+	later := want(12, "llm", 2, start.Add(2500*time.Millisecond))
+	s.Ask(later.Arrived, later)
+	finish(s, later.Arrived, next[0])
+	finish(s, later.Arrived, running[1])
+	g.Expect(granted(s.Take())).To(HaveLen(2), "the long one is not left behind for ever")
+}
--- a/internal/decide/schedule/server.go
+++ b/internal/decide/schedule/server.go
@@ -52,10 +52,12 @@
 	memory  int
 	// prefill is the time for a prompt token, decode that for an event, plain that for an answer.
 	prefill, decode, plain time.Duration
-	failures               float64
-	pause                  time.Duration
-	paused                 time.Time
-	progress               time.Time
+	// decoded counts the answers that decode was learned from.
+	decoded  int
+	failures float64
+	pause    time.Duration
+	paused   time.Time
+	progress time.Time
 	// absent is the sequence of the record when the server was not found at its address.
 	absent  uint64
 	missing bool
@@ -180,6 +182,7 @@
 	s.failures -= s.failures * failureRate
 	if s.engine != nil && r.Events > 1 {
 		s.decode = blend(s.decode, r.Rest/time.Duration(r.Events-1))
+		s.decoded++
 	}
 	if s.engine == nil {
 		s.plain = blend(s.plain, r.First+r.Rest)
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -62,6 +62,7 @@
 	admission   relay.Admission
 	submissions map[model.RequestID]*port.RoutedSubmission
 	requests    map[model.RequestID]*relay.Request
+	held        relay.Held
 	closed      bool
 	drains      []func()
 }
@@ -106,7 +107,7 @@
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("relay", kernel.Loop[message]{
 		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, QuietTick: quietTick, Now: clock.Boot,
-		Quiet: func() bool { return s.machine.Open() == 0 },
+		Quiet: func() bool { return s.machine.Open() == 0 && s.held.Len() == 0 },
 	}.Run, s.ring)
 	return nil
 }
@@ -140,6 +141,9 @@
 	case *port.RoutedSubmission:
 		s.submit(now, m)
 	case gone:
+		if s.held.Remove(m.id) {
+			delete(s.submissions, m.id)
+		}
 		s.machine.Gone(now, m.id)
 	case port.Allocation:
 		s.machine.Decided(now, m.Decision, m.Alone)
@@ -147,6 +151,7 @@
 		s.machine.Called(now, m)
 	case port.View:
 		s.admission.Table, s.admission.AsOf = m.Table, m.AsOf
+		s.held.Release(now, true, func(id model.RequestID, arrived time.Time) { s.release(now, id, arrived) })
 	case *roster.Lists:
 		s.machine.SetInstances(len(m.All()))
 	case closing:
@@ -158,13 +163,31 @@
 }
 
 func (s *Service) onTick(now time.Time) {
+	s.held.Release(now, false, func(id model.RequestID, arrived time.Time) { s.release(now, id, arrived) })
 	s.machine.Tick(now)
 	s.perform(now)
 	s.metrics.Gauge(metric.RoutedOpen, "").Update(int64(s.machine.Open()))
 }
 
 func (s *Service) submit(now time.Time, sub *port.RoutedSubmission) {
-	r, f := s.admit(now, sub)
+	if s.admission.Table == nil && !s.closed && s.held.Add(now, sub.ID, sub.Timeout) {
+		s.submissions[sub.ID] = sub
+		return
+	}
+	s.begin(now, now, sub)
+}
+
+// release goes on with a request that was held for the first configuration.
+func (s *Service) release(now time.Time, id model.RequestID, arrived time.Time) {
+	if sub := s.submissions[id]; sub != nil {
+		delete(s.submissions, id)
+		s.begin(now, arrived, sub)
+	}
+}
+
+// begin admits a request that arrived at a time, or refuses it.
+func (s *Service) begin(now, arrived time.Time, sub *port.RoutedSubmission) {
+	r, f := s.admit(now, arrived, sub)
 	if f != nil {
 		s.refuse(now, sub, f)
 		return
@@ -173,7 +196,7 @@
 	s.machine.Arrive(now, r)
 }
 
-func (s *Service) admit(now time.Time, sub *port.RoutedSubmission) (relay.Request, fault.Fault) {
+func (s *Service) admit(now, arrived time.Time, sub *port.RoutedSubmission) (relay.Request, fault.Fault) {
 	switch {
 	case s.closed:
 		return relay.Request{}, &fault.InstanceClosing{}
@@ -181,7 +204,7 @@
 		return relay.Request{}, &fault.NotServed{Reason: "too many requests are open at this instance", Wait: time.Second}
 	}
 	return s.admission.Admit(now, &relay.Arrival{
-		ID: sub.ID, Attempt: sub.Attempt, Host: sub.Call.Host, Path: sub.Path, Key: sub.Key, Timeout: sub.Timeout,
+		ID: sub.ID, At: arrived, Attempt: sub.Attempt, Host: sub.Call.Host, Path: sub.Path, Key: sub.Key, Timeout: sub.Timeout,
 		Prompt: sub.Prompt, Output: sub.Output, Expected: sub.Expected, Model: sub.Model,
 		Domain: s.options.Domain, Point: rand.Float64(),
 	})
@@ -209,7 +232,7 @@
 	for _, e := range s.machine.Take() {
 		s.performOne(now, e)
 	}
-	if s.machine.Open() == 0 {
+	if s.machine.Open() == 0 && s.held.Len() == 0 {
 		for _, done := range s.drains {
 			done()
 		}
