--- a/internal/decide/schedule/decide.go
+++ b/internal/decide/schedule/decide.go
@@ -10,6 +10,14 @@
 
 // decide grants and denies as far as the state of a service allows.
 func (s *Scheduler) decide(now time.Time, v *service) {
+	s.age(now, v)
+	s.denyWithoutServer(now, v)
+	for s.grantNext(now, v) {
+	}
+}
+
+// age brings the order up to date and denies the requests whose time has run out.
+func (s *Scheduler) age(now time.Time, v *service) {
 	for _, r := range v.ranks {
 		for _, q := range r.age(now) {
 			delete(s.wants, q.ID)
@@ -17,9 +25,6 @@
 			s.deny(now, v, &q.Want, DeniedTime, q.work)
 		}
 	}
-	s.denyWithoutServer(now, v)
-	for s.grantNext(now, v) {
-	}
 }
 
 // denyWithoutServer refuses the requests of a service that has had no usable server for a while.
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -224,6 +224,7 @@
 	}
 	q := &waiting{Want: w, work: v.expect(&w), late: !now.Before(w.OnTime)}
 	q.place()
+	s.age(now, v)
 	wait, left := v.wait(q)/s.slots(now, v), w.Until.Sub(now)
 	if len(s.wants) >= maxWaiting || wait > time.Duration(queueMargin*float64(left)) {
 		s.refund(now, &w)
--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -322,5 +322,6 @@
 	s.Ask(later.Arrived, later)
 	finish(s, later.Arrived, next[0])
 	finish(s, later.Arrived, running[1])
-	g.Expect(granted(s.Take())).To(HaveLen(2), "the long one is not left behind for ever")
+	all := s.Take()
+	g.Expect(granted(all)).To(HaveLen(2), "%+v", all)
 }
