Test the adapter, the unattended control group and the first configuration

Cause: the adapter's translation, the voter that opens its folder again, the learner that takes a lost voter's place and the highest number in force had no test without the bench.

--- a/internal/service/control/harness_test.go
+++ b/internal/service/control/harness_test.go
@@ -144,6 +144,8 @@
 	initial []model.InstanceID
 	voters  map[model.InstanceID]*voter
 	gates   map[model.InstanceID]*gate
+	// unattended is the setting of the voters started from then on.
+	unattended *control.Unattended
 	// sessions replaces the handling of heartbeats of the voters started from then on.
 	sessions func() control.Sessions
 }
@@ -171,6 +173,7 @@
 	g.gates[id] = &gate{}
 	v.service = control.New(control.Settings{
 		Self: id, Folder: v.folder, Initial: g.initial, Limits: state.DefaultLimits(), Files: g.files[id],
+		Unattended: g.unattended,
 	}, gatedCodecs{gate: g.gates[id]}, g.sessions(), g.log())
 	for _, s := range []kernel.Service{g.hub.join(id), v.service} {
 		if err := v.kernel.Register(s); err != nil {
