Hand out an allotment once when the dispatcher is lost

The dispatcher had let through its share of the window; when it was lost, each entry had a full bucket of its own, and the next dispatcher began with half a bucket.

Ruled out: a wrong bound (the property test of one bucket holds with a tenth to spare) and late arrivals at the servers (the excess is 25 requests).

Change: what a dispatcher grants uses up the entry's own share; a new dispatcher begins with a quarter of a bucket; and a dispatcher leaves to the entries that it has lost their share for as long as their configuration counts.

--- a/cmd/briaryard/platform.go
+++ b/cmd/briaryard/platform.go
@@ -25,10 +25,11 @@
 	if len(faults) > 0 {
 		return faults[0]
 	}
-	if err := s.LogLevel.UnmarshalText([]byte(c.LogLevel)); err != nil {
+	s.LogLevel = c.LogLevel
+	process, err := app.NewRouted(s.RoutedSettings, os.Stdout, platform.Adapter(&s))
+	if err != nil {
 		return err
 	}
-	code, err := app.NewRouted(s.RoutedSettings, os.Stdout, platform.Adapter(&s)).Run(context.Background())
-	exitCode = code
+	exitCode, err = process.Run(context.Background())
 	return err
 }
--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -92,8 +91,8 @@
 	StopWithin time.Duration
 	// MemoryBytes is the memory of the process; 0 for no limit.
 	MemoryBytes int64
-	// LogLevel is the lowest level of log events.
-	LogLevel slog.Level
+	// LogLevel is the lowest level of log events: debug, info, warn or error.
+	LogLevel string
 }
 
 // Routed is a running process of a fleet with routes.
@@ -111,15 +110,16 @@
 type Adapter func(log *event.Log, m *metric.Set) []kernel.Service
 
 // NewRouted constructs a process. Its log goes to out.
-func NewRouted(s RoutedSettings, out io.Writer, adapter Adapter) *Routed {
+func NewRouted(s RoutedSettings, out io.Writer, adapter Adapter) (*Routed, error) {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	}
 	lines := logwriter.New(out)
-	r := &Routed{
-		settings: s, failed: make(chan error, 1),
-		log: event.NewStream(slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: s.LogLevel}))),
+	log, err := event.NewStream(lines, s.LogLevel)
+	if err != nil {
+		return nil, err
 	}
+	r := &Routed{settings: s, failed: make(chan error, 1), log: log}
 	m := metric.NewSet()
 	lines.Report(r.log, m)
 	r.kernel = kernel.New(r.onPanic)
@@ -129,7 +129,7 @@
 		r.common(), r.byRole(), adapted(adapter),
 		fx.Invoke(fx.Annotate(r.register, fx.ParamTags(``, `group:"services"`))),
 	)
-	return r
+	return r, nil
 }
 
 // adapted provides the services of the adapter.
@@ -178,7 +178,9 @@
 					Unattended: &control.Unattended{Found: s.Found, Voters: s.Voters, CompactBytes: compactLogBytes, Trailing: trailingEntries},
 				}, control.WireCodecs{}, control.NewSessions(), l), err
 			}),
-			service(func(l *event.Log, m *metric.Set) *scheduler.Service { return scheduler.New(l, m, s.Tolerance) }),
+			service(func(l *event.Log, m *metric.Set) *scheduler.Service {
+				return scheduler.New(l, m, scheduler.Options{Tolerance: s.Tolerance, AloneFor: s.ConfigLease})
+			}),
 		)
 	}
 	return fx.Provide(
--- a/internal/decide/allocate/machine.go
+++ b/internal/decide/allocate/machine.go
@@ -257,7 +257,9 @@
 		}
 		m.works[d.ID] = w
 		if !alone {
-			m.local.Adopt(now, w)
+			// What the dispatcher lets through for this instance uses up its share, so that there is
+			// nothing more to hand out when the dispatcher is lost.
+			m.local.Adopt(now, w, true)
 		}
 	}
 	m.emit(Decided{Decision: d, Alone: alone})
--- a/internal/decide/allocate/machine_test.go
+++ b/internal/decide/allocate/machine_test.go
@@ -194,3 +194,80 @@
 		}
 	})
 }
+
+// Guards against an allotment that is handed out once by the dispatcher, once more by the instances
+// when it is lost, and a third time by its successor.
+func TestLosingTheDispatcherHandsOutNothingTwice(t *testing.T) {
+	g := NewWithT(t)
+	tolerance := allotment.Tolerance{Overage: 0.1, Slack: 72_000, Window: 8 * time.Second}
+	const rate, instances, tokens = 72_000, 12, 1500
+	document := &model.Document{
+		Services: map[model.PoolID]model.RoutedService{"s": {ID: "s"}},
+		Teams:    []model.RoutedTeam{{ID: "t", Allotment: &model.Allotment{Rate: rate, Burst: rate, CountTokens: true}}},
+	}
+	servers := []model.BackendServer{{ID: "b", Incarnation: 1, State: model.Alive, Pools: []model.PoolID{"s"}, Slots: 100_000}}
+	dispatcher := func(at time.Time) *schedule.Scheduler {
+		s := schedule.New(schedule.Options{Tolerance: tolerance, Share: 1})
+		s.SetDocument(at, document)
+		s.SetServers(at, servers)
+		return s
+	}
+	var machines []*allocate.Machine
+	for range instances {
+		m := allocate.New(tolerance)
+		m.SetInstances(start, instances)
+		m.SetDocument(start, document)
+		m.SetServers(start, servers)
+		machines = append(machines, m)
+	}
+	current, sum, seq := dispatcher(start), 0, uint64(0)
+	now := start.Add(20 * time.Second)
+	follow := func(id model.InstanceID) {
+		for _, m := range machines {
+			m.SetDispatcher(now, id)
+			for _, j := range of[allocate.Join](m.Take()) {
+				m.Joined(now, j.To, j.Session)
+			}
+		}
+	}
+	follow("d")
+	// The fleet is asked for three times the limit. The dispatcher is lost after 4 s, for 1 s.
+	for step := range 8000 {
+		now = now.Add(time.Millisecond)
+		switch step {
+		case 4000:
+			follow("")
+		case 5000:
+			current = dispatcher(now)
+			follow("e")
+		}
+		if step%7 != 0 {
+			continue
+		}
+		seq++
+		m := machines[seq%instances]
+		w := want(seq, now)
+		w.Team, w.Prompt = "t", tokens
+		m.Ask(now, w)
+		for effects := m.Take(); len(effects) > 0; effects = m.Take() {
+			for _, e := range effects {
+				switch e := e.(type) {
+				case allocate.Ask:
+					current.Ask(now, e.Want)
+					for _, d := range current.Take() {
+						m.Verdict(now, e.To, e.Session, d)
+					}
+				case allocate.Tell:
+					current.Report(now, e.Report)
+				case allocate.Decided:
+					if !e.Denied {
+						sum += tokens
+						m.Report(now, schedule.Report{ID: e.ID, Server: e.Server.ID, Outcome: schedule.Finished})
+					}
+				}
+			}
+		}
+	}
+	g.Expect(float64(sum)).To(BeNumerically("<=", (rate*8+rate)*1.1+72_000))
+	g.Expect(float64(sum)).To(BeNumerically(">=", rate*8), "the limit itself is served")
+}
--- a/internal/decide/allotment/bucket.go
+++ b/internal/decide/allotment/bucket.go
@@ -19,7 +19,7 @@
 	used = 0.9
 	// startLevel is the part of a bucket that a new set begins with: what its predecessor let
 	// through just before is not known.
-	startLevel = 0.5
+	startLevel = 0.25
 )
 
 // Limits holds a bucket for each team.
@@ -132,6 +132,15 @@
 	}
 }
 
+// Charge takes what was let through elsewhere for this set's share, down to an empty bucket's
+// opposite: more would refuse callers for what the window has long left.
+func (l *Limits) Charge(now time.Time, team model.TeamID, tokens int) {
+	if b := l.buckets[team]; b != nil {
+		b.fill(now)
+		b.level = max(b.level-b.allotment.Cost(tokens), -b.capacity)
+	}
+}
+
 // Level returns what is left of a team's bucket and what flows in each second.
 func (l *Limits) Level(team model.TeamID) (level, rate float64) {
 	if b := l.buckets[team]; b != nil {
--- a/internal/decide/consensus/node.go
+++ b/internal/decide/consensus/node.go
@@ -48,7 +48,7 @@
 	promised time.Time
 	votes    map[Member]bool
 	// asked is when pre-votes were last asked for.
-	asked time.Time
+	asked    time.Time
 	incoming Snapshot
 
 	joinedAt  time.Time
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -371,11 +371,18 @@
 	}
 }
 
-// Adopt counts work that was granted elsewhere.
-func (s *Scheduler) Adopt(now time.Time, w Work) {
+// SetAllotmentShare changes the part of the allotments that this scheduler hands out.
+func (s *Scheduler) SetAllotmentShare(now time.Time, share float64) { s.limits.SetShare(now, share) }
+
+// Adopt counts work that was granted elsewhere. If it is charged, it also counts in the allotment of
+// its team.
+func (s *Scheduler) Adopt(now time.Time, w Work, charge bool) {
 	if s.works[w.ID] != nil {
 		return
 	}
+	if charge {
+		s.limits.Charge(now, w.Team, w.Prompt+w.Output)
+	}
 	if q := s.wants[w.ID]; q != nil {
 		s.forget(q)
 	}
--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -182,7 +182,7 @@
 	long := want(500, "llm", 1, now)
 	long.Expected, long.Output = 1600, 2800
 	// e0 is more loaded than e1.
-	s.Adopt(now, schedule.Work{ID: model.RequestID{Instance: "x", Seq: 1}, Service: "llm", Server: "e0", Prompt: 3000})
+	s.Adopt(now, schedule.Work{ID: model.RequestID{Instance: "x", Seq: 1}, Service: "llm", Server: "e0", Prompt: 3000}, false)
 	s.Ask(now, long)
 	d := granted(s.Take())
 	g.Expect(d).To(HaveLen(1))
@@ -263,7 +263,7 @@
 			s.Report(now, schedule.Report{ID: d.ID, Server: d.Server.ID, Outcome: schedule.Cancelled})
 		}
 	}
-	s.Adopt(now, schedule.Work{ID: model.RequestID{Instance: "x", Seq: 1}, Service: "llm", Server: "e0", Prompt: 2000})
+	s.Adopt(now, schedule.Work{ID: model.RequestID{Instance: "x", Seq: 1}, Service: "llm", Server: "e0", Prompt: 2000}, false)
 	long := want(500, "llm", 1, now)
 	long.Expected, long.Output = 1800, 2800
 	s.Ask(now, long)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"slices"
 	"sync"
@@ -60,8 +61,15 @@
 // New returns a log that writes through the logger.
 func New(out *slog.Logger) *Log { return &Log{out: out} }
 
-// NewStream returns a log that keeps no events: its lines are all there is.
-func NewStream(out *slog.Logger) *Log { return &Log{out: out, streams: true} }
+// NewStream returns a log that writes one JSON line for each event of a level (debug, info, warn or
+// error) or above. It keeps no events: its lines are all there is.
+func NewStream(out io.Writer, level string) (*Log, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, err
+	}
+	return &Log{out: slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: l})), streams: true}, nil
+}
 
 // Emit writes an event. The values belong to the event's fields, in order.
 func (l *Log) Emit(d Def, values ...any) {
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -22,10 +22,10 @@
 	LogDropped = define(1106, slog.LevelWarn, "log.dropped",
 		"Lines were left out because the log could not be written as fast as they came.", "lines")
 	ScheduleGranted = define(2101, slog.LevelInfo, "schedule.granted",
-		"The dispatcher chose a backend server; the fields are the inputs that decided it and the age of the server's last progress.",
+		"The dispatcher, or an instance that decides alone, chose a backend server; the fields are the inputs that decided it and the age of the server's last progress.",
 		"request", "backend_server", "sequence", "waited", "waiting", "running", "pending", "estimate", "age")
 	ScheduleDenied = define(2102, slog.LevelInfo, "schedule.denied",
-		"The dispatcher denied a request.", "request", "reason", "retry_after", "waited", "waiting", "running", "allotment_level", "allotment_rate")
+		"The dispatcher, or an instance that decides alone, denied a request.", "request", "reason", "retry_after", "waited", "waiting", "running", "allotment_level", "allotment_rate")
 	ScheduleJoined = define(2103, slog.LevelInfo, "schedule.joined",
 		"An instance gave its requests to this dispatcher.", "instance", "session")
 	AllocateFollows = define(2104, slog.LevelInfo, "allocate.follows",
--- a/internal/service/allocate/service.go
+++ b/internal/service/allocate/service.go
@@ -194,6 +194,7 @@
 	case allocate.Tell:
 		s.send(now, e.To, port.OutcomeMessage{Session: e.Session, Report: e.Report})
 	case allocate.Decided:
+		s.note(e)
 		s.sink(port.Allocation{Decision: e.Decision, Alone: e.Alone})
 	case allocate.Followed:
 		s.log.Emit(event.AllocateFollows, e.Dispatcher, e.Reason)
@@ -206,3 +207,15 @@
 		s.machine.Unreachable(now, to)
 	}
 }
+
+// note logs a decision that was made without the dispatcher, which logs its own.
+func (s *Service) note(d allocate.Decided) {
+	in := &d.Inputs
+	switch {
+	case !d.Alone:
+	case d.Denied:
+		s.log.Emit(event.ScheduleDenied, d.ID.String(), d.Reason.String(), d.RetryAfter, in.Waited, in.Waiting, in.Running, in.Level, in.Rate)
+	default:
+		s.log.Emit(event.ScheduleGranted, d.ID.String(), d.Server.ID, d.Server.Sequence, in.Waited, in.Waiting, in.Running, in.Pending, in.Estimate, in.Age)
+	}
+}
--- a/internal/service/scheduler/service.go
+++ b/internal/service/scheduler/service.go
@@ -31,6 +31,14 @@
 
 type servers struct{ records []model.BackendServer }
 
+// Options are the settings of the service.
+type Options struct {
+	Tolerance allotment.Tolerance
+	// AloneFor is how long an instance that is lost may go on alone: as long as its configuration
+	// counts.
+	AloneFor time.Duration
+}
+
 // member is an instance that takes requests.
 type member struct {
 	session uint64
@@ -44,6 +52,7 @@
 type Service struct {
 	log     *event.Log
 	metrics *metric.Set
+	options Options
 	ring    *ring.Ring[message]
 	peers   port.Peers
 
@@ -51,13 +60,16 @@
 	scheduler *schedule.Scheduler
 	revision  model.Revision
 	members   map[model.InstanceID]*member
+	// lost holds the instances that may decide alone, and since when.
+	lost map[model.InstanceID]time.Time
 }
 
 // New returns the service.
-func New(log *event.Log, m *metric.Set, t allotment.Tolerance) *Service {
+func New(log *event.Log, m *metric.Set, o Options) *Service {
 	return &Service{
 		log: log, metrics: m, ring: ring.New[message]("scheduler", ringCapacity, ring.Refuse),
-		scheduler: schedule.New(schedule.Options{Tolerance: t, Share: 1}), members: make(map[model.InstanceID]*member),
+		options: o, scheduler: schedule.New(schedule.Options{Tolerance: o.Tolerance, Share: 1}),
+		members: make(map[model.InstanceID]*member), lost: make(map[model.InstanceID]time.Time),
 	}
 }
 
@@ -90,7 +102,7 @@
 func (s *Service) Start(h *kernel.Host) error {
 	h.Go("scheduler", kernel.Loop[message]{
 		Ring: s.ring, Tick: tick, Handle: s.handle, OnTick: s.onTick, QuietTick: quietTick,
-		Quiet: func() bool { return s.scheduler.Waiting() == 0 },
+		Quiet: func() bool { return s.scheduler.Waiting() == 0 && len(s.lost) == 0 },
 	}.Run, s.ring)
 	return nil
 }
@@ -125,6 +137,7 @@
 			s.scheduler.Forget(now, id)
 		}
 	}
+	s.shareAllotments(now)
 	s.scheduler.Tick(now)
 	s.tell(now)
 	for id, m := range s.members {
@@ -134,12 +147,33 @@
 	}
 }
 
+// shareAllotments leaves to the instances that may decide alone what they may hand out: an equal
+// share for each, as long as their configuration counts.
+func (s *Service) shareAllotments(now time.Time) {
+	for id, since := range s.lost {
+		if now.Sub(since) >= s.options.AloneFor {
+			delete(s.lost, id)
+		}
+	}
+	joined := 0
+	for id, m := range s.members {
+		if m.down.IsZero() {
+			delete(s.lost, id)
+			joined++
+		}
+	}
+	s.scheduler.SetAllotmentShare(now, float64(max(joined, 1))/float64(max(joined+len(s.lost), 1)))
+}
+
 func (s *Service) status(now time.Time, st port.PeerStatus) {
 	m := s.members[st.Instance.ID]
 	switch {
 	case m == nil:
-	case st.State == port.PeerDown:
-		m.down = now
+	case st.State == port.PeerDown, st.State == port.PeerSilent:
+		s.lost[st.Instance.ID] = now
+		if st.State == port.PeerDown {
+			m.down = now
+		}
 	case st.State == port.PeerUp:
 		m.down = time.Time{}
 	case st.State == port.PeerReset:
@@ -189,7 +223,7 @@
 	s.scheduler.Forget(now, from)
 	for _, w := range works {
 		w.ID.Instance = from
-		s.scheduler.Adopt(now, w)
+		s.scheduler.Adopt(now, w, false)
 	}
 }
 
