Give the tests of the instance ports that no other connection takes

The tests chose a free port of the ephemeral range, gave it back and bound it again; any outgoing connection can take it in between.

Ruled out: an address of 127.0.0.0/8 for each test process: the certificates of the tests name 127.0.0.1, and two specs failed.

Change: each call has a block of ports below the ephemeral range, reserved by a listener until the spec has ended.

--- a/internal/app/fleet_test.go
+++ b/internal/app/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"time"
 
@@ -22,16 +23,38 @@
 	"briaryard/internal/standin/engine"
 )
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+const (
+	// firstPort and lastPort lie below the range that outgoing connections take their ports from.
+	firstPort, lastPort = 12_000, 32_000
+	// blockPorts is the number of ports of one call.
+	blockPorts = 16
+)
+
+// blocks counts the blocks of ports of this process.
+var blocks int
+
+// freeAddresses returns loopback addresses that nothing else uses. An instance gives its address back
+// and takes it again when it restarts, and an outgoing connection could take a port of the ephemeral
+// range in between; so each call has a block of ports below that range, whose first one a listener
+// reserves until the spec has ended.
 func freeAddresses(n int) []string {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		out = append(out, l.Addr().String())
-		defer func() { _ = l.Close() }()
+	const count = (lastPort - firstPort) / blockPorts
+	for range count {
+		blocks++
+		block := firstPort + (os.Getpid()*7+blocks)%count*blockPorts
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", block))
+		if err != nil {
+			continue
+		}
+		DeferCleanup(l.Close)
+		var out []string
+		for i := range n {
+			out = append(out, fmt.Sprintf("127.0.0.1:%d", block+1+i))
+		}
+		return out
 	}
-	return out
+	Fail("no block of ports is free")
+	return nil
 }
 
 // startFleet starts instances i1, i2, ... whose dispatchers run on i1.
