--- a/internal/wire/controlwire/wire_test.go
+++ b/internal/wire/controlwire/wire_test.go
@@ -42,6 +42,8 @@
 		state.ReleaseLease{Name: "dispatcher/chat", Epoch: 4},
 		state.ChangeVoters{Instance: "i4", Remove: true},
 		state.ListChanges{Before: 7},
+		state.ReplaceConfig{Number: 3, Content: []byte("{}")},
+		state.ReadConfig{},
 	}
 }
 
@@ -51,6 +53,7 @@
 	all := []any{
 		port.Heartbeat{Seq: 1, Instance: "i1", Incarnation: 7, Revision: 2, Holds: []state.Lease{lease}, Stopping: true},
 		port.HeartbeatReply{Seq: 1, NotLeader: true, Leader: "i2"},
+		port.HeartbeatReply{Seq: 1, NotLeader: true, Voters: []model.InstanceID{"i1", "i2"}, Learners: []model.InstanceID{"i3"}},
 		port.HeartbeatReply{Seq: 1, Config: config, Revision: 2, Leases: []state.Lease{lease},
 			Voters: []model.InstanceID{"i1", "i2"}, Confirmed: []port.Confirmation{{Instance: "i1", Revision: 2, Stopping: true}}},
 		port.CommandReply{ID: 3, NotLeader: true, Leader: "i2"},
--- /dev/null
+++ b/internal/wire/routedwire/codec_test.go
@@ -0,0 +1,118 @@
+package routedwire_test
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+	"time"
+
+	"briaryard/internal/decide/roster"
+	"briaryard/internal/decide/schedule"
+	"briaryard/internal/fault"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/wire/routedwire"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "briaryard/internal/wire/routedpb"
+)
+
+var id = model.RequestID{Incarnation: 7, Seq: 9}
+
+func messages() []any {
+	server := model.BackendServer{
+		ID: "s", Incarnation: 5, Sequence: 6, State: model.Leaving, Address: "10.0.0.1:80", Domain: "d",
+		Pools: []model.PoolID{"llm"}, Models: []string{"m"}, Slots: 4,
+	}
+	entry := roster.Entry{Instance: "i", Incarnation: 2, Sequence: 3, Address: "10.0.0.2:80", Domain: "d", Ready: true}
+	return []any{
+		port.JoinMessage{Session: 1},
+		port.AccountMessage{Session: 1, Works: []schedule.Work{{
+			ID: id, Service: "llm", Server: "s", Team: "t", Prompt: 10, Output: 20, Expected: 5, Started: true, Rank: 2}}},
+		port.AskMessage{
+			Session: 1, Waited: time.Millisecond, OnTimeIn: -time.Second, UntilIn: 3 * time.Second, EndIn: 4 * time.Second,
+			Want: schedule.Want{
+				ID: id, Service: "llm", Team: "t", Rank: 2, Prompt: 10, Output: 20, Expected: 5, Model: "m", Domain: "d",
+				Admitted: true, Tried: []model.BackendServerID{"x", "y"},
+			},
+		},
+		port.WithdrawAskMessage{Session: 1, ID: id},
+		port.OutcomeMessage{Session: 1, Report: schedule.Report{
+			ID: id, Server: "s", Outcome: schedule.Finished, First: time.Millisecond, Rest: time.Second, Events: 8, Refund: true}},
+		port.JoinedMessage{Session: 1},
+		port.VerdictMessage{Session: 1, Decision: schedule.Decision{ID: id, Server: server}},
+		port.VerdictMessage{Session: 1, Decision: schedule.Decision{ID: id, Denied: true, Reason: schedule.DeniedServer, RetryAfter: time.Second}},
+		port.BeatMessage{Session: 1},
+		port.ServersMessage{Servers: []model.BackendServer{server}},
+		port.HeardMessage{Servers: []port.HeardServer{{ID: "s", Incarnation: 5, Sequence: 6}}},
+		port.PresenceMessage{Entry: entry},
+		port.InstancesMessage{Entries: []roster.Entry{entry}},
+	}
+}
+
+// Guards against a field that is lost between two instances.
+func TestMessagesSurviveEncoding(t *testing.T) {
+	for _, want := range messages() {
+		data, err := routedwire.Codec{}.Encode(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := routedwire.Codec{}.Decode(data)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%T: got %+v (%v), want %+v", want, got, err, want)
+		}
+	}
+}
+
+// Guards against values out of range that reach the scheduler, such as a negative cost.
+func TestValuesOutOfRangeAreErrors(t *testing.T) {
+	for name, env := range map[string]*pb.Envelope{
+		"no body":            {},
+		"negative tokens":    {Body: &pb.Envelope_Account{Account: &pb.Account{Works: []*pb.Work{{Prompt: -1}}}}},
+		"unknown outcome":    {Body: &pb.Envelope_Report{Report: &pb.Report{Outcome: 99}}},
+		"unknown reason":     {Body: &pb.Envelope_Verdict{Verdict: &pb.Verdict{Denied: true, Reason: 99}}},
+		"verdict, no server": {Body: &pb.Envelope_Verdict{Verdict: &pb.Verdict{}}},
+		"unknown state":      {Body: &pb.Envelope_Servers{Servers: &pb.Servers{Servers: []*pb.Server{{Id: "s", State: 99}}}}},
+		"negative slots":     {Body: &pb.Envelope_Servers{Servers: &pb.Servers{Servers: []*pb.Server{{Id: "s", Slots: -1}}}}},
+	} {
+		data, err := proto.Marshal(env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var protocol *fault.PeerProtocol
+		if got, err := (routedwire.Codec{}).Decode(data); !errors.As(err, &protocol) {
+			t.Errorf("%s: got %+v, %v; want a protocol error", name, got, err)
+		}
+	}
+}
+
+// Guards against bytes from the network that make an instance panic.
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages() {
+		data, err := routedwire.Codec{}.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := routedwire.Codec{}.Decode(data)
+		if err != nil {
+			return
+		}
+		first, err := routedwire.Codec{}.Encode(m)
+		if err != nil {
+			t.Fatalf("%+v was decoded and cannot be encoded: %v", m, err)
+		}
+		again, err := routedwire.Codec{}.Decode(first)
+		if err != nil {
+			t.Fatalf("%+v cannot be decoded again: %v", m, err)
+		}
+		second, err := routedwire.Codec{}.Encode(again)
+		if err != nil || !bytes.Equal(first, second) {
+			t.Fatalf("%+v changes when it is encoded again (%v)", m, err)
+		}
+	})
+}
