--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -176,7 +176,7 @@
 				return control.New(control.Settings{
 					Self: s.ID, Folder: s.DataFolder, Initial: contacts, Limits: state.DefaultLimits(), Now: clock.Boot,
 					Unattended: &control.Unattended{Found: s.Found, Voters: s.Voters, CompactBytes: compactLogBytes, Trailing: trailingEntries},
-				}, control.WireCodecs{}, control.NewSessions(), l), err
+				}, control.WireCodecs{}, control.NewPlainSessions(), l), err
 			}),
 			service(func(l *event.Log, m *metric.Set) *scheduler.Service {
 				return scheduler.New(l, m, scheduler.Options{Tolerance: s.Tolerance, AloneFor: s.ConfigLease})
--- a/internal/decide/session/tracker.go
+++ b/internal/decide/session/tracker.go
@@ -53,7 +53,8 @@
 
 // Answer is the answer to a heartbeat.
 type Answer struct {
-	// Config is set if the instance's revision is older than Revision.
+	// Config is set if the instance's revision is older than Revision and the configuration is not
+	// under way to it.
 	Config   *state.AcceptedConfig
 	Revision model.Revision
 	// Leases lists all leases by name.
@@ -76,6 +77,9 @@
 	heard       time.Time
 	revision    model.Revision
 	stopping    bool
+	// sent is the newest revision that it was sent, at sentAt.
+	sent   model.Revision
+	sentAt time.Time
 }
 
 // renewal is the last time at which the holder of an epoch was told that it holds the lease.
@@ -89,6 +93,11 @@
 	at    time.Time
 }
 
+// resendAfter is how long a configuration that was sent counts as under way. Heartbeats come four times
+// a second, and a large configuration needs longer than that on the narrow links of a large fleet: sent
+// with each answer, it filled the links and the leader's memory. Only a lost connection loses one.
+const resendAfter = time.Second
+
 // Tracker follows the instances for one term of a leader.
 type Tracker struct {
 	options   Options
@@ -128,15 +137,19 @@
 		i = &instance{}
 		t.instances[h.Instance] = i
 	}
-	*i = instance{incarnation: h.Incarnation, heard: now, revision: h.Revision, stopping: h.Stopping}
+	if h.Incarnation != i.incarnation {
+		*i = instance{incarnation: h.Incarnation}
+	}
+	i.heard, i.revision, i.stopping = now, h.Revision, h.Stopping
 	t.renew(now, h, s)
 	a := Answer{
 		Revision: s.Config.Revision, Voters: s.Voters, Confirmed: t.confirmed(now),
 		Leases: slices.SortedFunc(maps.Values(s.Leases), func(a, b state.Lease) int { return cmp.Compare(a.Name, b.Name) }),
 	}
-	if h.Revision < s.Config.Revision {
+	if h.Revision < s.Config.Revision && (i.sent != s.Config.Revision || now.Sub(i.sentAt) >= resendAfter) {
 		config := s.Config
 		a.Config = &config
+		i.sent, i.sentAt = config.Revision, now
 	}
 	return a, true
 }
--- a/internal/decide/session/tracker_test.go
+++ b/internal/decide/session/tracker_test.go
@@ -255,3 +255,36 @@
 		}
 	})
 }
+
+// Guards against a large configuration that is sent again with each answer while it is still under way:
+// in a fleet of 84 instances that filled the leader's memory and held its configuration back.
+func TestConfigurationUnderWayIsNotSentAgain(t *testing.T) {
+	now := time.Unix(100, 0)
+	tracker := session.New(now, session.Options{LeaseDuration: time.Second, DeadAfter: 10 * time.Second})
+	s := session.State{Config: state.AcceptedConfig{Revision: 5, Content: []byte("x")}}
+	carries := func(incarnation model.Incarnation, revision model.Revision) bool {
+		a, ok := tracker.Handle(now, session.Heartbeat{Instance: "i", Incarnation: incarnation, Revision: revision}, s)
+		if !ok {
+			t.Fatal("no answer")
+		}
+		return a.Config != nil
+	}
+	if !carries(1, 4) {
+		t.Error("the first answer carries no configuration")
+	}
+	now = now.Add(250 * time.Millisecond)
+	if carries(1, 4) {
+		t.Error("a configuration was sent again while it is under way")
+	}
+	if !carries(2, 0) {
+		t.Error("a new process gets no configuration")
+	}
+	s.Config.Revision = 6
+	if !carries(2, 0) {
+		t.Error("a newer configuration waits for the older one")
+	}
+	now = now.Add(time.Second)
+	if !carries(2, 0) {
+		t.Error("a configuration that was lost is not sent again")
+	}
+}
--- a/internal/service/control/sessions.go
+++ b/internal/service/control/sessions.go
@@ -23,14 +23,23 @@
 type tracked struct {
 	options session.Options
 	tracker *session.Tracker
-	// declared holds the lease names of the configuration with the given revision.
+	// names returns the lease names of a configuration, and declared holds those of the one with the
+	// given revision.
+	names    func(state.AcceptedConfig) []string
 	declared []string
 	revision model.Revision
 }
 
-// NewSessions returns the leader's handling of heartbeats.
-func NewSessions() Sessions {
-	return &tracked{options: session.Options{
+// NewSessions returns the leader's handling of heartbeats, with the leases of the configuration.
+func NewSessions() Sessions { return newSessions(leaseNames) }
+
+// NewPlainSessions returns the leader's handling of heartbeats for configurations without leases.
+func NewPlainSessions() Sessions {
+	return newSessions(func(state.AcceptedConfig) []string { return nil })
+}
+
+func newSessions(names func(state.AcceptedConfig) []string) Sessions {
+	return &tracked{names: names, options: session.Options{
 		LeaseDuration: port.LeaseDuration, DriftPercent: port.MaxClockDrift, DeadAfter: ownerDeadAfter,
 	}}
 }
@@ -67,7 +76,7 @@
 	config := m.Config()
 	if config.Revision != t.revision {
 		t.revision = config.Revision
-		t.declared = leaseNames(config)
+		t.declared = t.names(config)
 	}
 	return session.State{
 		Leases: m.Leases(), Config: config, Owners: m.Owners(), Voters: voters, Declared: t.declared,
