Take the placement lease when the view settles after it

Cause: the holder ignored a lease that was published before its view of the fleet was settled. A fleet of one instance gets its leases once, so that it then never placed a model; on a busy machine the two come in either order.

The new test of the service fails without the change. The log of an instance in this package's tests is now printed when a test fails.

--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -58,7 +58,7 @@
 	}
 	Expect(settings.Check()).To(BeEmpty())
 	f := &fixture{
-		instance: app.New(settings, slog.New(slog.NewTextHandler(io.Discard, nil)), []byte(config)),
+		instance: app.New(settings, slog.New(slog.NewJSONHandler(GinkgoWriter, nil)), []byte(config)),
 		engine:   engine.New(o),
 		booking:  booking.New(booking.Options{ID: "b1", Service: "booking", Domain: "d1", Slots: 4, Delay: 20 * time.Millisecond}),
 	}
--- a/internal/service/placement/service.go
+++ b/internal/service/placement/service.go
@@ -65,6 +65,7 @@
 	// The fields below belong to the placement duty.
 	machine   *decide.Machine
 	lease     decide.Lease
+	leases    []port.Lease
 	settled   bool
 	published time.Time
 	// declared tells whether the configuration has a placement section, and shown whether the
@@ -143,10 +144,15 @@
 func (s *Service) handle(now time.Time, m message) {
 	switch m := m.(type) {
 	case leased:
-		s.setLease(now, m.leases)
+		s.leases = m.leases
+		s.setLease(now)
 	case viewed:
+		changed := s.settled != m.view.Settled
 		s.settled = m.view.Settled
 		s.machine.SetServers(now, m.view.Servers)
+		if changed {
+			s.setLease(now)
+		}
 	case configured:
 		s.declared = m.config.Placement != nil
 		s.machine.SetConfig(m.config)
@@ -159,10 +165,11 @@
 	}
 }
 
-// setLease takes the lease table. Before the view is settled, engines may be missing from it.
-func (s *Service) setLease(now time.Time, all []port.Lease) {
+// setLease takes the lease from the table. Before the view is settled, engines may be missing from it.
+// A fleet of one instance gets its table once, so it is kept until then.
+func (s *Service) setLease(now time.Time) {
 	var l decide.Lease
-	for _, e := range all {
+	for _, e := range s.leases {
 		if e.Name == port.PlacementLease && e.Holder == s.self && !e.Lapsed && s.settled {
 			l = decide.Lease{Held: true, Epoch: e.Epoch, Until: e.Until}
 		}
--- a/internal/service/placement/service_test.go
+++ b/internal/service/placement/service_test.go
@@ -113,3 +113,14 @@
 	g.Expect(s.machine.State().Orders[0].Phase).To(Equal("unknown"))
 	g.Expect(e.calls).To(HaveLen(1))
 }
+
+// Guards against a holder that never acts because its lease was published before the view was settled: a
+// fleet of one instance gets its leases once. On a busy machine the two come in either order.
+func TestLeaseBeforeASettledViewCounts(t *testing.T) {
+	g := NewWithT(t)
+	s, e, view := serving(nil)
+	s.handle(time.Now(), lease("i1", time.Hour, false))
+	s.handle(time.Now(), viewed{view})
+	ticks(s)
+	g.Expect(e.calls).To(HaveLen(1))
+}
