Keep large requests from starving under overload

Within a rank short requests go first, so that with three times the work that the engines can do, the largest never come to their turn.

Ruled out: the engines' memory (large chats are refused before any send, with reason queue), and the end of a request's time.

Change: arrivals and grants are counted for the largest tenth of a rank and for the fifth below it; a class that gets less than 0.7 of the rank's share loses the handicap of its size until it has caught up.

--- a/internal/decide/schedule/decide.go
+++ b/internal/decide/schedule/decide.go
@@ -186,6 +186,8 @@
 	}, estimate)
 	s.works[q.ID] = b
 	v.running++
-	v.rank(q.Rank).running++
+	r := v.rank(q.Rank)
+	r.running++
+	r.sizes.served(q.work)
 	s.out = append(s.out, Decision{ID: q.ID, Server: b.record, Inputs: in})
 }
--- a/internal/decide/schedule/order.go
+++ b/internal/decide/schedule/order.go
@@ -24,6 +24,8 @@
 	at [2]int
 	// work is the expected time that the request takes on a server.
 	work time.Duration
+	// behind is how far it goes behind others of its rank.
+	behind time.Duration
 }
 
 // Heaps of a group.
@@ -115,24 +117,35 @@
 	timely, late group
 	// work is the expected time of all of them together.
 	work time.Duration
-	// arrivals measures how much work of the rank comes.
+	// arrivals measures how much work of the rank comes, and sizes what becomes of large requests.
 	arrivals demand
+	sizes    sizes
 	// running counts the granted requests.
 	running int
 }
 
-func newRank(number int) *rank { return &rank{number: number, timely: newGroup(), late: newGroup()} }
+func newRank(number int) *rank {
+	return &rank{number: number, timely: newGroup(), late: newGroup(), sizes: newSizes()}
+}
 
 func (r *rank) len() int { return r.timely.len() + r.late.len() }
 
 // place sets the times of a request in its group.
 func (w *waiting) place() {
-	behind := min(time.Duration(shortFirst*float64(w.work)), maxBehind)
 	w.leaves = w.OnTime
 	if w.late {
 		w.leaves = w.Until
 	}
-	w.key = w.leaves.Add(behind)
+	w.key = w.leaves.Add(w.behind)
+}
+
+// behind returns how far a request goes behind others: short ones first, except for a class of large
+// ones which is served too seldom.
+func (r *rank) behind(work time.Duration) time.Duration {
+	if r.sizes.starves(work) {
+		return 0
+	}
+	return min(time.Duration(shortFirst*float64(work)), maxBehind)
 }
 
 func (r *rank) add(w *waiting) {
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -222,7 +222,10 @@
 		}
 		w.Admitted = true
 	}
+	r := v.rank(w.Rank)
 	q := &waiting{Want: w, work: v.expect(&w), late: !now.Before(w.OnTime)}
+	r.sizes.arrived(q.work)
+	q.behind = r.behind(q.work)
 	q.place()
 	s.age(now, v)
 	wait, left := v.wait(q)/s.slots(now, v), w.Until.Sub(now)
@@ -233,7 +236,6 @@
 		return
 	}
 	s.wants[w.ID] = q
-	r := v.rank(w.Rank)
 	r.add(q)
 	r.arrivals.add(now, q.work)
 	s.decide(now, v)
