Never deliver an earlier failure into a stream that has begun

A stream's first server answered 500, which is kept in case no other answers. The second began the stream and crashed. The kept answer was then written behind the events that the caller had, and ended the answer as if it were whole. The same could happen when the time of a request ended between two tries of a begun stream.

Ruled out: an answer without framing that ends with its connection.

Change: once an answer has begun, the request ends with a cut. The test fails before; the model of any course now plays failures before a begin and checks what follows one.

--- a/internal/decide/relay/machine.go
+++ b/internal/decide/relay/machine.go
@@ -140,12 +140,13 @@
 // a refusal. The refusal is true only if no call may have run.
 func (m *Machine) give(now time.Time, s *state, f fault.Fault) {
 	switch {
-	case s.kept != nil:
-		m.emit(Deliver{ID: s.ID, Answer: s.kept})
-		m.end(now, s, "answered by an earlier try")
 	case s.began:
+		// An answer has begun, so that an earlier one can no longer be delivered.
 		m.emit(Abort{ID: s.ID, Fault: &fault.StreamCut{Server: s.server, Err: s.failure}})
 		m.end(now, s, "stream cut")
+	case s.kept != nil:
+		m.emit(Deliver{ID: s.ID, Answer: s.kept})
+		m.end(now, s, "answered by an earlier try")
 	case s.runs > 0:
 		m.emit(Refuse{ID: s.ID, Fault: &fault.AnswerLost{Server: s.server, Err: s.failure}})
 		m.end(now, s, "answer lost")
@@ -329,7 +330,7 @@
 		m.cut(s)
 		f := &fault.TimedOut{Server: s.server, After: now.Sub(s.Arrived)}
 		switch {
-		case s.phase == streaming:
+		case s.began:
 			m.emit(Abort{ID: s.ID, Fault: f})
 		case s.kept != nil:
 			m.emit(Deliver{ID: s.ID, Answer: s.kept})
--- a/internal/decide/relay/machine_test.go
+++ b/internal/decide/relay/machine_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -128,6 +129,29 @@
 	g.Expect(effect[relay.Deliver](t, m.Take()).Answer.Status).To(Equal(500))
 }
 
+// Guards against an answer that is joined from two: after a failure of the first server the stream of the
+// second broke, and the failure was written behind its events as if it were their end.
+func TestAnEarlierFailureIsNotDeliveredIntoAStream(t *testing.T) {
+	g := NewWithT(t)
+	for name, end := range map[string]func(m *relay.Machine){
+		"broken": func(m *relay.Machine) {
+			m.Called(start, relay.CallEvent{ID: id, Send: 2, Kind: relay.CallBroken, LastEvent: "3", Cause: &fault.MalformedAnswer{}})
+		},
+		"time over": func(m *relay.Machine) { m.Tick(start.Add(3 * time.Second)) },
+	} {
+		m := newMachine()
+		m.Arrive(start, request(model.KindStream, true, 2))
+		m.Decided(start, grant("a"), false)
+		m.Called(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallAnswered, Answer: &model.HTTPAnswer{Status: 500}})
+		m.Decided(start, grant("b"), false)
+		m.Called(start, relay.CallEvent{ID: id, Send: 2, Kind: relay.CallBegan})
+		m.Take()
+		end(m)
+		effect[relay.Abort](t, m.Take())
+		g.Expect(m.Open()).To(BeZero(), name)
+	}
+}
+
 // Guards against work that goes on after its caller has left, and against a booking that is cut off
 // half done.
 func TestCallersThatLeave(t *testing.T) {
@@ -168,10 +192,11 @@
 }
 
 // server is what a backend server of the model has done with the request.
-type server struct{ ran, refused bool }
+type server struct{ ran, refused, began bool }
 
 // Guards, under any course of the calls, against a second run of what may run once, a refusal that
-// promises that a request has not run and is not true, and a second or missing final answer.
+// promises that a request has not run and is not true, a second or missing final answer, and another
+// answer after a stream has begun.
 func TestPromisesUnderAnyCourse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		kind := rapid.SampledFrom([]model.RequestKind{model.KindOnce, model.KindRepeatable, model.KindStream}).Draw(t, "kind")
@@ -193,14 +218,11 @@
 					}
 				case relay.Open:
 					servers = append(servers, server{})
-					call(t, m, now, e.Send, &servers[len(servers)-1], kind)
+					call(t, m, now, e.Send, &servers[len(servers)-1], kind, e.Resume)
 				case relay.Cancel:
 					cancelled = true
-				case relay.Deliver, relay.Abort:
-					finals++
-				case relay.Refuse:
-					finals++
-					checkRefusal(t, e, servers, cancelled)
+				default:
+					finals += final(t, e, servers, cancelled)
 				}
 			}
 			m.Tick(now)
@@ -209,13 +231,7 @@
 			}
 		}
 		for _, e := range m.Take() {
-			switch e := e.(type) {
-			case relay.Deliver, relay.Abort:
-				finals++
-			case relay.Refuse:
-				finals++
-				checkRefusal(t, e, servers, cancelled)
-			}
+			finals += final(t, e, servers, cancelled)
 		}
 		if finals > 1 {
 			t.Fatalf("%d final answers", finals)
@@ -232,6 +248,27 @@
 	})
 }
 
+// final checks an effect that ends a request, and returns 1 for one.
+func final(t *rapid.T, e relay.Effect, servers []server, cancelled bool) int {
+	began := slices.ContainsFunc(servers, func(s server) bool { return s.began })
+	switch e := e.(type) {
+	case relay.Abort:
+		return 1
+	case relay.Deliver:
+		if began {
+			t.Fatal("a whole answer follows the begin of another")
+		}
+		return 1
+	case relay.Refuse:
+		if began {
+			t.Fatal("a refusal follows the begin of an answer")
+		}
+		checkRefusal(t, e, servers, cancelled)
+		return 1
+	}
+	return 0
+}
+
 func checkRefusal(t *rapid.T, e relay.Refuse, servers []server, cancelled bool) {
 	if fault.MappingOf(e.Fault).RunState != model.NotRun {
 		return
@@ -244,7 +281,7 @@
 }
 
 // call plays a server's part of a call.
-func call(t *rapid.T, m *relay.Machine, now time.Time, send int, s *server, kind model.RequestKind) {
+func call(t *rapid.T, m *relay.Machine, now time.Time, send int, s *server, kind model.RequestKind, resumed bool) {
 	e := relay.CallEvent{ID: id, Send: send, Cause: &fault.MalformedAnswer{}}
 	switch rapid.IntRange(0, 7).Draw(t, "outcome") {
 	case 0:
@@ -258,12 +295,13 @@
 	case 4, 5:
 		s.ran = true
 		e.Kind, e.Answer = relay.CallAnswered, &model.HTTPAnswer{Status: rapid.SampledFrom([]int{200, 404, 500}).Draw(t, "status")}
-		if kind == model.KindStream {
+		if kind == model.KindStream && (resumed || rapid.Bool().Draw(t, "begins")) {
+			s.began = true
 			m.Called(now, relay.CallEvent{ID: id, Send: send, Kind: relay.CallBegan})
 			e.Kind, e.LastEvent = relay.CallBroken, rapid.SampledFrom([]string{"", "3"}).Draw(t, "last")
 		}
 	case 6:
-		s.ran = true
+		s.ran, s.began = true, true
 		m.Called(now, relay.CallEvent{ID: id, Send: send, Kind: relay.CallBegan})
 		e.Kind = relay.CallEnded
 	default:
