Count a test server's connections without a race

The race step had not been run since the test was written.

Ruled out: a race in the client; the detector names the test file alone.

--- a/internal/service/httpbackend/call_test.go
+++ b/internal/service/httpbackend/call_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 // script is a backend server that answers each request as the test says.
 type script struct {
 	listener net.Listener
-	conns    int
+	conns    atomic.Int32
 	requests chan *http.Request
 }
 
@@ -69,7 +70,7 @@
 			if err != nil {
 				return
 			}
-			s.conns++
+			s.conns.Add(1)
 			r := bufio.NewReader(c)
 			for n := 0; ; n++ {
 				req, err := http.ReadRequest(r)
@@ -282,7 +283,7 @@
 		// The connection goes back to the service after its last event.
 		time.Sleep(50 * time.Millisecond)
 	}
-	g.Expect(s.conns).To(Equal(1))
+	g.Expect(s.conns.Load()).To(Equal(int32(1)))
 	e, _ := b.call(t, s.listener.Addr().String(), "3", nil)
 	g.Expect(e.Kind).To(Equal(relay.CallAnswered))
 	g.Expect(string(e.Answer.Body)).To(Equal("ok"))
