--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -59,8 +59,8 @@
 const (
 	// EntryRole takes requests from callers.
 	EntryRole Role = iota
-	// CoreRole is a member of the control group, takes the announcements of backend servers and the
-	// changes of operators, and decides for the fleet while it leads.
+	// CoreRole takes the announcements of backend servers and the changes of operators. With a disk
+	// it is a member of the control group, and decides for the fleet while it leads.
 	CoreRole
 )
 
@@ -77,7 +77,7 @@
 	Contacts func() ([]model.InstanceID, error)
 	// CallerAddress is where callers connect.
 	CallerAddress string
-	// DataFolder is where a core instance keeps its part of the control group.
+	// DataFolder is where a core instance keeps its part of the control group; empty without a disk.
 	DataFolder string
 	// Found is set at the first start of the fleet.
 	Found bool
@@ -95,6 +95,9 @@
 	LogLevel string
 }
 
+// Member reports whether the process is a member of the control group.
+func (s *RoutedSettings) Member() bool { return s.Role == CoreRole && s.DataFolder != "" }
+
 // Routed is a running process of a fleet with routes.
 type Routed struct {
 	fx       *fx.App
@@ -146,7 +149,7 @@
 			return peers.New(l, peers.Options{
 				Self: model.Instance{
 					ID: s.ID, Incarnation: model.Incarnation(time.Now().UnixNano()), Domain: s.Domain,
-					PeerAddress: s.PeerAddress, Voter: s.Role == CoreRole,
+					PeerAddress: s.PeerAddress, Voter: s.Member(),
 				},
 				Listen: s.PeerAddress, RaiseIncarnation: true, Metrics: m,
 				Codecs: map[string]port.Codec{
@@ -169,7 +172,8 @@
 
 func (r *Routed) byRole() fx.Option {
 	s := &r.settings
-	if s.Role == CoreRole {
+	switch {
+	case s.Member():
 		return fx.Provide(
 			service(func(l *event.Log) (*control.Service, error) {
 				contacts, err := s.Contacts()
@@ -182,6 +186,9 @@
 				return scheduler.New(l, m, scheduler.Options{Tolerance: s.Tolerance, AloneFor: s.ConfigLease})
 			}),
 		)
+	case s.Role == CoreRole:
+		// What this instance takes goes to the members through the services that all processes have.
+		return fx.Options()
 	}
 	return fx.Provide(
 		service(func(l *event.Log) *allocate.Service { return allocate.New(l, s.Tolerance) }),
