--- a/internal/decide/allotment/bucket_test.go
+++ b/internal/decide/allotment/bucket_test.go
@@ -30,7 +30,12 @@
 			tokens int
 		}
 		var grants []grant
-		for range 3000 {
+		change := rapid.IntRange(0, 2999).Draw(t, "change")
+		for i := range 3000 {
+			if i == change {
+				limits = allotment.New(tolerance, 1)
+				limits.SetTeams(now, teams(rate))
+			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "gap")) * time.Millisecond)
 			tokens := rapid.IntRange(100, 5000).Draw(t, "tokens")
 			if _, ok := limits.Take(now, "t", tokens); ok {
@@ -66,6 +71,22 @@
 	}
 }
 
+// Guards against refusals of a team that asks for two thirds of its rate on average, in clumps.
+func TestClumpsBelowTheLimitAreNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	limits := allotment.New(tolerance, 1)
+	now := time.Unix(1000, 0)
+	limits.SetTeams(now, teams(20_000))
+	now = now.Add(5 * time.Second)
+	for range 10 {
+		for range 20 {
+			_, ok := limits.Take(now, "t", 3300)
+			g.Expect(ok).To(BeTrue())
+		}
+		now = now.Add(5 * time.Second)
+	}
+}
+
 // Guards against a lowered limit that binds only after the old bucket is empty, and against a
 // denial that names no time to come back.
 func TestALoweredLimitBindsAtOnce(t *testing.T) {
