Put the slack of the allotments back into their rate

Cause: with the slack in the bucket's capacity, a team above its limit is served at its rate alone.

Ruled out: a sliding count of the window, which would serve both; it needs the usage of the last 8 s from every instance when the dispatcher changes, which is not built.

--- a/internal/decide/allotment/bucket.go
+++ b/internal/decide/allotment/bucket.go
@@ -17,9 +17,8 @@
 	// used is the part of the tolerated amount that the fleet lets through. The rest covers a change
 	// of the dispatcher and instances that decide alone.
 	used = 0.9
-	// startLevel is the part of a team's burst that a new set begins with: what its predecessor let
-	// through just before is not known. Several changes of the dispatcher in a window stay within the
-	// part that is not used.
+	// startLevel is the part of a bucket that a new set begins with: what its predecessor let
+	// through just before is not known.
 	startLevel = 0.25
 )
 
@@ -44,14 +43,12 @@
 	return &Limits{tolerance: t, share: share, buckets: make(map[model.TeamID]*bucket)}
 }
 
-func (l *Limits) start(b *bucket) float64 { return b.allotment.Burst * startLevel * l.share }
-
 // Restart brings every bucket down to the level of a new set. It is for a set that begins to hand out
 // while another one did until now: its own buckets have filled meanwhile.
 func (l *Limits) Restart(now time.Time) {
 	for _, b := range l.buckets {
 		b.fill(now)
-		b.level = min(b.level, l.start(b))
+		b.level = min(b.level, b.capacity*startLevel)
 	}
 }
 
@@ -79,7 +76,7 @@
 		if b == nil {
 			b = &bucket{at: now}
 			l.resize(now, b, *a)
-			b.level = l.start(b)
+			b.level = b.capacity * startLevel
 		} else if b.allotment != *a {
 			l.resize(now, b, *a)
 		}
@@ -89,22 +86,23 @@
 }
 
 // resize sets the rate and the capacity. In a span of the window a bucket lets through its capacity
-// and what flows in; together they stay within the used part of what is tolerated. The slack goes into
-// the capacity: callers come in clumps, and a team that asks for less than its rate on average is not
-// refused for them.
+// and what flows in; together they stay within the used part of what is tolerated. The capacity is
+// that of the allotment and its overage; the slack goes into the rate, because a caller at its
+// limit is served steadily by it and not in bursts.
 func (l *Limits) resize(now time.Time, b *bucket, a model.Allotment) {
 	b.fill(now)
 	b.allotment = a
 	t := &l.tolerance
-	capacity := a.Burst * (1 + t.Overage/2)
+	burst := a.Burst * (1 + t.Overage/2)
+	rate := a.Rate
 	if window := t.Window.Seconds(); window > 0 {
 		tolerated := (a.Rate*window + a.Burst) * (1 + t.Overage)
 		if a.CountTokens {
 			tolerated += t.Slack
 		}
-		capacity = max(capacity, used*tolerated-a.Rate*window)
+		rate = max(rate, (used*tolerated-burst)/window)
 	}
-	b.rate, b.capacity = a.Rate*l.share, capacity*l.share
+	b.rate, b.capacity = rate*l.share, burst*l.share
 	b.level = min(b.level, b.capacity)
 }
 
