Keep the engines' slots busy under overload

Up to 0.3 of all slots was kept free for each more urgent rank, and eight long chats at the head of the order, which only a busy fast engine could end in time, held up all others.

Change: - Requests are held in sorted lists and one that must wait for a particular server is passed over. Slots are kept free only where less urgent answers seldom end. - A prompt that only a fast server reads on time waits for one.

--- a/internal/decide/allocate/machine.go
+++ b/internal/decide/allocate/machine.go
@@ -1,6 +1,7 @@
 package allocate
 
 import (
+	"slices"
 	"time"
 
 	"briaryard/internal/decide/allotment"
@@ -126,8 +127,15 @@
 	m.local.SetServers(now, records)
 }
 
-// SetInstances sets the number of instances that share the servers.
-func (m *Machine) SetInstances(now time.Time, n int) { m.local.SetShare(now, 1/float64(max(n, 1))) }
+// SetInstances takes the instances that share the servers, by id. This one decides about its part of
+// them while it decides alone.
+func (m *Machine) SetInstances(now time.Time, self model.InstanceID, all []model.InstanceID) {
+	if at := slices.Index(all, self); at >= 0 {
+		m.local.SetPart(now, at, len(all))
+		return
+	}
+	m.local.SetShare(now, 1/float64(max(len(all), 1)))
+}
 
 // SetDispatcher names the instance to follow; empty for none.
 func (m *Machine) SetDispatcher(now time.Time, id model.InstanceID) {
--- a/internal/decide/allocate/machine_test.go
+++ b/internal/decide/allocate/machine_test.go
@@ -1,6 +1,7 @@
 package allocate_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -213,9 +214,10 @@
 		return s
 	}
 	var machines []*allocate.Machine
-	for range instances {
+	all := fleetOf(instances)
+	for _, id := range all {
 		m := allocate.New(tolerance)
-		m.SetInstances(start, instances)
+		m.SetInstances(start, id, all)
 		m.SetDocument(start, document)
 		m.SetServers(start, servers)
 		machines = append(machines, m)
@@ -271,3 +273,49 @@
 	g.Expect(float64(sum)).To(BeNumerically("<=", (rate*8+rate)*1.1+72_000))
 	g.Expect(float64(sum)).To(BeNumerically(">=", rate*8), "the limit itself is served")
 }
+
+func fleetOf(n int) []model.InstanceID {
+	var all []model.InstanceID
+	for i := range n {
+		all = append(all, model.InstanceID(fmt.Sprintf("i%02d", i)))
+	}
+	return all
+}
+
+// Guards, while no dispatcher answers, against instances that all choose the same fast engines: together
+// they give no engine more than it runs at once, and leave no engine out.
+func TestInstancesThatDecideAloneShareNoSlot(t *testing.T) {
+	g := NewWithT(t)
+	const instances, engines, slots = 12, 9, 8
+	document := &model.Document{Services: map[model.PoolID]model.RoutedService{
+		"s": {ID: "s", Engine: &model.EngineLimits{Slots: slots, MemoryTokens: 1_000_000}},
+	}}
+	var servers []model.BackendServer
+	for i := range engines {
+		servers = append(servers, model.BackendServer{
+			ID: model.BackendServerID(fmt.Sprintf("e%d", i)), Incarnation: 1, Sequence: 1, State: model.Alive,
+			Address: fmt.Sprintf("e%d:1", i), Pools: []model.PoolID{"s"}, Slots: slots,
+		})
+	}
+	given := make(map[model.BackendServerID]int)
+	for _, id := range fleetOf(instances) {
+		m := allocate.New(allotment.Tolerance{})
+		m.SetInstances(start, id, fleetOf(instances))
+		m.SetDocument(start, document)
+		m.SetServers(start, servers)
+		for i := range 30 {
+			w := want(uint64(i), start)
+			w.Prompt, w.Output, w.Expected = 100, 200, 20
+			m.Ask(start, w)
+		}
+		for _, d := range of[allocate.Decided](m.Take()) {
+			if !d.Denied {
+				given[d.Server.ID]++
+			}
+		}
+	}
+	g.Expect(given).To(HaveLen(engines))
+	for id, n := range given {
+		g.Expect(n).To(Equal(slots), string(id))
+	}
+}
--- a/internal/decide/schedule/decide.go
+++ b/internal/decide/schedule/decide.go
@@ -10,22 +10,37 @@
 // decide grants and denies as far as the state of a service allows.
 func (s *Scheduler) decide(now time.Time, v *service) {
 	s.age(now, v)
+	v.suspects(now)
 	s.denyWithoutServer(now, v)
-	for s.grantNext(now, v) {
+	o := v.open(now)
+	for s.grantNext(now, v, o) {
 	}
 }
 
-// age brings the order up to date and denies the requests whose time has run out.
+// age brings the order up to date. It denies the requests whose time has run out, and those which have
+// become late and are not expected to get a server in what is left of it: their callers may come back
+// while there is time.
 func (s *Scheduler) age(now time.Time, v *service) {
 	for _, r := range v.ranks {
-		for _, q := range r.age(now) {
-			delete(s.wants, q.ID)
-			s.refund(now, &q.Want)
-			s.deny(now, v, &q.Want, DeniedTime, q.work)
+		late, ended := r.age(now)
+		for _, q := range ended {
+			s.giveUp(now, v, q, DeniedTime)
+		}
+		for _, q := range late {
+			if !s.mayBegin(now, v, q) {
+				r.remove(q)
+				s.giveUp(now, v, q, DeniedQueue)
+			}
 		}
 	}
 }
 
+func (s *Scheduler) giveUp(now time.Time, v *service, q *waiting, reason Reason) {
+	delete(s.wants, q.ID)
+	s.refund(now, &q.Want)
+	s.deny(now, v, &q.Want, reason, spread(q.ID, s.drained(now, v)))
+}
+
 // denyWithoutServer refuses the requests of a service that has had no usable server for a while.
 func (s *Scheduler) denyWithoutServer(now time.Time, v *service) {
 	if slices.ContainsFunc(v.list, func(b *server) bool { return b.usable(now) }) {
@@ -50,66 +65,115 @@
 
 // grantNext grants the first request in the order that a server has room for. It reports whether
 // there was one.
-func (s *Scheduler) grantNext(now time.Time, v *service) bool {
-	if s.options.Share < 1 && v.running >= int(s.slots(now, v))+1 {
+func (s *Scheduler) grantNext(now time.Time, v *service, o *open) bool {
+	if len(o.list) == 0 || s.options.Share < 1 && !v.divided && v.running >= int(s.slots(now, v))+1 {
 		return false
 	}
-	granted := false
-	kept := 0.0
-	for _, r := range v.ranks {
-		if r.len() > 0 && v.free(now) <= int(kept) {
-			break
+	kept, most := 0.0, reserveShare*float64(o.total)
+	for at, r := range v.ranks {
+		if r.len() > 0 && o.slots <= int(kept) {
+			return false
 		}
-		r.inOrder(lookAhead, func(q *waiting) bool {
-			if b := v.choose(now, &q.Want); b != nil {
-				s.grant(now, v, q, b)
-				granted = true
-			}
-			return !granted
-		})
+		granted := r.find(
+			func(q *waiting) bool { return v.mayEnd(now, q, o) },
+			func(q *waiting) bool {
+				b := v.choose(now, q, o)
+				if b != nil {
+					s.grant(now, v, q, b)
+					o.granted(b)
+				}
+				return b != nil
+			})
 		if granted {
-			break
+			return true
 		}
-		kept += v.reserve(now, r)
+		kept = min(kept+v.reserve(now, at), most)
 	}
-	return granted
+	return false
 }
 
-const (
-	// reserveFactor is how much of the slots that a rank's arrivals need is kept free for them. It is
-	// above 1 because arrivals come in clumps.
-	reserveFactor = 1.2
-	// reserveShare bounds the slots that are kept free of a service.
-	reserveShare = 0.3
-)
+// suspects looks for servers that have not answered for too long.
+func (v *service) suspects(now time.Time) {
+	if now.Sub(v.looked) < suspectInterval {
+		return
+	}
+	v.looked = now
+	for _, b := range v.list {
+		b.suspect = b.overdue(now)
+	}
+}
 
-// reserve returns the number of free slots that less urgent requests leave for a rank: what its
-// arrivals need on average, without what they have. Less urgent answers may take a hundred times as
-// long, so that a more urgent request would otherwise wait for one of them to end.
-func (v *service) reserve(now time.Time, r *rank) float64 {
-	r.arrivals.decay(now)
-	return min(max(r.arrivals.rate*reserveFactor-float64(r.running), 0), reserveShare*float64(v.total(now)))
+// open are the servers that can take a request now.
+type open struct {
+	list []*server
+	// slots are free, of the total of all usable servers.
+	slots, total int
+	// fastest is the least time for an event among them.
+	fastest time.Duration
 }
 
-// total returns the slots of the usable servers, and free those without work.
-func (v *service) total(now time.Time) int {
-	n := 0
-	for _, b := range v.list {
-		if b.usable(now) {
-			n += b.slots()
+func (v *service) open(now time.Time) *open {
+	o := &open{}
+	for i := range v.list {
+		// Equal servers take turns.
+		b := v.list[(v.next+i)%len(v.list)]
+		if !b.usable(now) {
+			continue
+		}
+		o.total += b.slots()
+		if free := b.slots() - len(b.works); free > 0 && !b.suspect {
+			o.list = append(o.list, b)
+			o.slots += free
 		}
 	}
-	return n
+	o.measure()
+	return o
 }
 
-func (v *service) free(now time.Time) int {
-	n := 0
-	for _, b := range v.list {
-		if b.usable(now) {
-			n += max(b.slots()-len(b.works), 0)
+func (o *open) measure() {
+	o.fastest = 0
+	for i, b := range o.list {
+		if i == 0 || b.decode < o.fastest {
+			o.fastest = b.decode
 		}
 	}
-	return n
+}
+
+// granted takes a slot of a server.
+func (o *open) granted(b *server) {
+	o.slots--
+	at := slices.Index(o.list, b)
+	o.list = slices.Delete(o.list, at, at+1)
+	if len(b.works) < b.slots() {
+		o.list = append(o.list, b)
+		return
+	}
+	o.measure()
+}
+
+const (
+	// reserveFactor is how much of the slots that a rank's arrivals need is kept free for them. It is
+	// above 1 because arrivals come in clumps.
+	reserveFactor = 1.2
+	// reserveShare bounds the slots that are kept free of a service.
+	reserveShare = 0.3
+	// reserveWait is the time that an urgent request may wait for a slot that a less urgent one
+	// leaves: a quarter of the shortest objective of a stream.
+	reserveWait = 100 * time.Millisecond
+)
+
+// reserve returns the number of free slots that less urgent requests leave for the rank at a place in
+// the order: what its arrivals need on average, without what they have. Less urgent answers may take a
+// hundred times as long, so that a more urgent request would otherwise wait for one of them to end.
+// Nothing is kept where less urgent answers end often enough: free slots serve nobody.
+func (v *service) reserve(now time.Time, at int) float64 {
+	r := v.ranks[at]
+	soon := 0.0
+	for _, o := range v.ranks[at+1:] {
+		soon += o.ends.at(now) * reserveWait.Seconds()
+	}
+	need := (r.arrivals.at(now)*reserveFactor - float64(r.running)) * (1 - soon)
+	return max(need, 0)
 }
 
 const (
@@ -119,9 +183,9 @@
 	// endWeight is what an expected overrun of the request's end costs in the choice, in parts of
 	// the overrun.
 	endWeight = 0.5
-	// lateChoice is the time before a request must begin in which it takes a server that is
-	// expected to overrun without any margin, rather than none.
-	lateChoice = 400 * time.Millisecond
+	// likelyMargin is the part of the expected length that an answer must have time for. Four in five
+	// answers are shorter; what is cut at its end has used a slot for nothing.
+	likelyMargin = 1.5
 	// keptSlots of each fast server are kept for the requests that no other server can end in time,
 	// unless the others are worse by keptCost.
 	keptSlots = 2
@@ -130,27 +194,43 @@
 	fastShare = 0.7
 )
 
-// choose returns the server with the least cost that has room, or nil.
-func (v *service) choose(now time.Time, w *Want) *server {
+// idle reports whether at least half of the slots are free. Then a request gets a place even if no
+// server is expected to end it in time.
+func (o *open) idle() bool { return 2*o.slots >= o.total }
+
+// mayEnd reports whether one of the open servers may be right for a request.
+func (v *service) mayEnd(now time.Time, q *waiting, o *open) bool {
+	if v.engine == nil || o.idle() {
+		return true
+	}
+	return time.Duration(q.likely*float64(o.fastest)) <= q.End.Sub(now)
+}
+
+// choose returns the server with the least cost that has room and is expected to answer in time, or
+// nil.
+func (v *service) choose(now time.Time, q *waiting, o *open) *server {
 	var best *server
 	var least time.Duration
-	events := w.events()
-	mean := v.decode()
-	left := w.End.Sub(now)
+	mean := v.sum(now).decode
+	left := q.End.Sub(now)
 	// A request is long if an average server may not end it in time.
-	long := v.engine != nil && time.Duration(endMargin*events*float64(mean)) > left
-	for i := range v.list {
-		b := v.list[(v.next+i)%len(v.list)]
-		if !b.usable(now) || !b.room(w) || slices.Contains(w.Tried, b.record.ID) || !serves(&b.record, w.Model) || b.overdue(now) {
+	long := v.engine != nil && time.Duration(endMargin*q.events*float64(mean)) > left
+	// A prompt that only a fast server reads on time waits for one of them.
+	choosy := v.engine != nil && !q.late && !now.Add(firstBase+time.Duration(q.Prompt)*v.sum(now).leastPrefill).After(q.OnTime)
+	for _, b := range o.list {
+		if !b.room(&q.Want) || slices.Contains(q.Tried, b.record.ID) || !serves(&b.record, q.Model) {
 			continue
 		}
-		c := b.cost(w, events)
+		first := b.first(&q.Want)
+		if choosy && now.Add(first).After(q.OnTime) {
+			continue
+		}
+		if v.engine != nil && first+b.rest(q.likely) > left && !o.idle() {
+			continue
+		}
+		c := b.cost(&q.Want, q.events)
 		if long {
-			end := b.first(w) + b.rest(events)
-			if end > left && w.Until.Sub(now) > lateChoice {
-				continue
-			}
-			c += time.Duration(endWeight * float64(max(b.first(w)+b.rest(endMargin*events)-left, 0)))
+			c += time.Duration(endWeight * float64(max(first+b.rest(endMargin*q.events)-left, 0)))
 		} else if v.engine != nil && b.slots()-len(b.works) <= keptSlots && float64(b.decode) < fastShare*float64(mean) {
 			c += keptCost
 		}
@@ -161,11 +241,6 @@
 	return best
 }
 
-// decode returns the mean time for an event.
-func (v *service) decode() time.Duration {
-	return v.mean(func(b *server) time.Duration { return b.decode }, defaultDecode)
-}
-
 // serves reports whether a server has a model. Requests without one fit every server.
 func serves(r *model.BackendServer, name string) bool {
 	return name == "" || len(r.Models) == 0 || slices.Contains(r.Models, name)
--- a/internal/decide/schedule/order.go
+++ b/internal/decide/schedule/order.go
@@ -1,8 +1,11 @@
 package schedule
 
 import (
-	"container/heap"
+	"cmp"
+	"slices"
 	"time"
+
+	"briaryard/internal/model"
 )
 
 const (
@@ -20,93 +23,78 @@
 	// becomes late, or when its time has run out.
 	key, leaves time.Time
 	late        bool
-	// at holds the places in the two heaps of the group.
-	at [2]int
 	// work is the expected time that the request takes on a server.
 	work time.Duration
+	// events is the expected number of events of the answer, and likely one that most answers do not
+	// exceed.
+	events, likely float64
+	// begin is the expected time from the grant to the first event.
+	begin time.Duration
 	// behind is how far it goes behind others of its rank.
 	behind time.Duration
 }
 
-// Heaps of a group.
-const (
-	byKey = iota
-	byLeaving
-)
-
-// queue is a heap of requests by one of their times.
+// queue holds requests in the order of one of their times, those with equal times as they arrived.
 type queue struct {
 	list []*waiting
-	by   int
+	time func(*waiting) time.Time
 }
 
-func (q *queue) time(w *waiting) time.Time {
-	if q.by == byKey {
-		return w.key
+func (q *queue) compare(a, b *waiting) int {
+	if c := q.time(a).Compare(q.time(b)); c != 0 {
+		return c
 	}
-	return w.leaves
-}
-
-// Len implements heap.Interface.
-func (q *queue) Len() int { return len(q.list) }
-
-// Less implements heap.Interface.
-func (q *queue) Less(i, j int) bool {
-	a, b := q.list[i], q.list[j]
-	if x, y := q.time(a), q.time(b); !x.Equal(y) {
-		return x.Before(y)
+	if c := a.Arrived.Compare(b.Arrived); c != 0 {
+		return c
 	}
-	return a.Arrived.Before(b.Arrived)
+	return compareIDs(a.ID, b.ID)
 }
 
-// Swap implements heap.Interface.
-func (q *queue) Swap(i, j int) {
-	q.list[i], q.list[j] = q.list[j], q.list[i]
-	q.list[i].at[q.by], q.list[j].at[q.by] = i, j
+func compareIDs(a, b model.RequestID) int {
+	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Seq, b.Seq))
 }
 
-// Push implements heap.Interface.
-func (q *queue) Push(x any) {
-	w := x.(*waiting)
-	w.at[q.by] = len(q.list)
-	q.list = append(q.list, w)
+func (q *queue) add(w *waiting) {
+	at, _ := slices.BinarySearchFunc(q.list, w, q.compare)
+	q.list = slices.Insert(q.list, at, w)
 }
 
-// Pop implements heap.Interface.
-func (q *queue) Pop() any {
-	last := len(q.list) - 1
-	w := q.list[last]
-	q.list[last] = nil
-	q.list = q.list[:last]
-	return w
+func (q *queue) remove(w *waiting) {
+	if at, found := slices.BinarySearchFunc(q.list, w, q.compare); found {
+		q.list = slices.Delete(q.list, at, at+1)
+	}
 }
 
 // group holds the timely or the late requests of a rank.
-type group struct{ queues [2]queue }
+type group struct {
+	order, leaving queue
+}
 
-func newGroup() group { return group{queues: [2]queue{{by: byKey}, {by: byLeaving}}} }
+func newGroup() group {
+	return group{
+		order:   queue{time: func(w *waiting) time.Time { return w.key }},
+		leaving: queue{time: func(w *waiting) time.Time { return w.leaves }},
+	}
+}
 
-func (g *group) len() int { return len(g.queues[byKey].list) }
+func (g *group) len() int { return len(g.order.list) }
 
 func (g *group) add(w *waiting) {
-	for i := range g.queues {
-		heap.Push(&g.queues[i], w)
-	}
+	g.order.add(w)
+	g.leaving.add(w)
 }
 
 func (g *group) remove(w *waiting) {
-	for i := range g.queues {
-		heap.Remove(&g.queues[i], w.at[i])
-	}
+	g.order.remove(w)
+	g.leaving.remove(w)
 }
 
 // left takes the next request whose time in the group is over, or nil.
 func (g *group) left(now time.Time) *waiting {
-	q := &g.queues[byLeaving]
-	if len(q.list) == 0 || now.Before(q.list[0].leaves) {
+	if len(g.leaving.list) == 0 || now.Before(g.leaving.list[0].leaves) {
 		return nil
 	}
-	w := q.list[0]
+	w := g.leaving.list[0]
 	g.remove(w)
 	return w
 }
@@ -117,9 +105,10 @@
 	timely, late group
 	// work is the expected time of all of them together.
 	work time.Duration
-	// arrivals measures how much work of the rank comes, and sizes what becomes of large requests.
-	arrivals demand
-	sizes    sizes
+	// arrivals measures how much work of the rank comes, ends how many answers of it end, and sizes
+	// what becomes of large requests.
+	arrivals, ends average
+	sizes          sizes
 	// running counts the granted requests.
 	running int
 }
@@ -132,7 +121,7 @@
 
 // place sets the times of a request in its group.
 func (w *waiting) place() {
-	w.leaves = w.OnTime
+	w.leaves = w.OnTime.Add(-w.begin)
 	if w.late {
 		w.leaves = w.Until
 	}
@@ -167,25 +156,27 @@
 	}
 }
 
-// age moves requests that can no longer be on time behind the others, and returns those whose time
-// has run out.
-func (r *rank) age(now time.Time) (ended []*waiting) {
+// age moves requests that can no longer be on time behind the others. It returns them, and those whose
+// time has run out.
+func (r *rank) age(now time.Time) (late, ended []*waiting) {
 	for w := r.timely.left(now); w != nil; w = r.timely.left(now) {
 		r.work -= w.work
 		w.late = true
 		r.add(w)
+		late = append(late, w)
 	}
 	for w := r.late.left(now); w != nil; w = r.late.left(now) {
 		r.work -= w.work
 		ended = append(ended, w)
+		late = slices.DeleteFunc(late, func(o *waiting) bool { return o == w })
 	}
-	return ended
+	return late, ended
 }
 
 // first returns the request that goes first, or nil.
 func (r *rank) first() *waiting {
 	for _, g := range []*group{&r.timely, &r.late} {
-		if list := g.queues[byKey].list; len(list) > 0 {
+		if list := g.order.list; len(list) > 0 {
 			return list[0]
 		}
 	}
@@ -195,13 +186,13 @@
 // ahead returns the expected work of the requests of the rank that go before another one of it.
 func (r *rank) ahead(w *waiting) time.Duration {
 	var sum time.Duration
-	for _, o := range r.timely.queues[byKey].list {
+	for _, o := range r.timely.order.list {
 		if w.late || o.key.Before(w.key) {
 			sum += o.work
 		}
 	}
 	if w.late {
-		for _, o := range r.late.queues[byKey].list {
+		for _, o := range r.late.order.list {
 			if o.key.Before(w.key) {
 				sum += o.work
 			}
@@ -210,41 +201,47 @@
 	return sum
 }
 
-// inOrder visits the requests that come first in the order, at most limit of each group.
-func (r *rank) inOrder(limit int, visit func(*waiting) bool) bool {
+// find returns the first request in the order for which try succeeds. It looks at all that may fit,
+// so that a request which must wait for a particular server does not hold up those behind it.
+func (r *rank) find(may func(*waiting) bool, try func(*waiting) bool) bool {
+	tries := lookAhead
 	for _, g := range []*group{&r.timely, &r.late} {
-		// The heap's array is ordered well enough for the few requests behind the first.
-		list := g.queues[byKey].list
-		for _, w := range list[:min(len(list), limit)] {
-			if !visit(w) {
+		for _, w := range g.order.list {
+			if !may(w) {
+				continue
+			}
+			if try(w) {
+				return true
+			}
+			if tries--; tries == 0 {
 				return false
 			}
 		}
 	}
-	return true
+	return false
 }
 
-// demand measures work that arrives, as an average that forgets.
-type demand struct {
-	// rate is work in seconds a second, which is the number of slots that it takes.
+// average is a rate that forgets what is long ago.
+type average struct {
 	rate float64
-	at   time.Time
+	set  time.Time
 }
 
-// demandMemory is the time in which an earlier arrival loses most of its weight: shorter than a
-// burst of callers, longer than the gaps within one.
-const demandMemory = 1500 * time.Millisecond
+// averageMemory is the time in which an earlier event loses its weight: shorter than a burst of
+// callers, longer than the gaps within one.
+const averageMemory = 1500 * time.Millisecond
 
-func (d *demand) decay(now time.Time) {
-	if !d.at.IsZero() {
-		if age := now.Sub(d.at); age > 0 {
-			d.rate *= max(1-age.Seconds()/demandMemory.Seconds(), 0)
+// at returns the rate in units a second.
+func (d *average) at(now time.Time) float64 {
+	if !d.set.IsZero() {
+		if age := now.Sub(d.set); age > 0 {
+			d.rate *= max(1-age.Seconds()/averageMemory.Seconds(), 0)
 		}
 	}
-	d.at = now
+	d.set = now
+	return d.rate
 }
 
-func (d *demand) add(now time.Time, work time.Duration) {
-	d.decay(now)
-	d.rate += work.Seconds() / demandMemory.Seconds()
+func (d *average) add(now time.Time, units float64) {
+	d.rate = d.at(now) + units/averageMemory.Seconds()
 }
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	// tokensPerEvent is the assumed number of output tokens in one event.
+	// tokensPerEvent is the number of output tokens in one event where the configuration names none.
 	tokensPerEvent = 4
 	// lookAhead is the number of waiting requests of a group that one decision tries: a request may
 	// not fit the one server that is free.
 	lookAhead = 8
 	// queueMargin is how far the expected wait must exceed a request's time before it is refused on
-	// arrival. Estimates of lengths are off by a factor of two.
+	// arrival, or when it has become late. Estimates of lengths are off by a factor of two.
 	queueMargin = 1.2
 	// minRetryAfter keeps callers that are refused from coming back at once.
 	minRetryAfter = 200 * time.Millisecond
@@ -44,6 +44,7 @@
 	// works maps granted requests to their servers.
 	works map[model.RequestID]*server
 	out   []Decision
+	part  part
 }
 
 // service is the order and the servers of one service.
@@ -60,6 +61,52 @@
 	running int
 	// lacking is when the service was first seen without a usable server, or zero.
 	lacking time.Time
+	// divided is set if this scheduler uses only the slots of its part.
+	divided bool
+	// figures sum up the servers, as of a time.
+	figures figures
+	asOf    time.Time
+	// looked is when suspect servers were last looked for.
+	looked time.Time
+}
+
+// figures sum up the usable servers of a service.
+type figures struct {
+	// slots are those of all of them.
+	slots int
+	// prefill, decode and plain are mean times: for a prompt token, an event and a plain answer.
+	prefill, decode, plain time.Duration
+	// leastPrefill and leastDecode are those of the fastest.
+	leastPrefill, leastDecode time.Duration
+}
+
+// figuresAge is how old the figures of a service may be. They change with every answer and are used
+// several times in every decision; a tenth of the shortest objective shows every change in time.
+const figuresAge = 10 * time.Millisecond
+
+// sum returns the figures of the usable servers, or of all if none is usable.
+func (v *service) sum(now time.Time) *figures {
+	if age := now.Sub(v.asOf); age >= 0 && age < figuresAge {
+		return &v.figures
+	}
+	v.asOf = now
+	f := figures{leastPrefill: defaultPrefill, leastDecode: defaultDecode}
+	for i, b := range v.list {
+		if b.usable(now) {
+			f.slots += b.slots()
+		}
+		if i == 0 || b.prefill < f.leastPrefill {
+			f.leastPrefill = b.prefill
+		}
+		if i == 0 || b.decode < f.leastDecode {
+			f.leastDecode = b.decode
+		}
+	}
+	f.prefill = v.mean(func(b *server) time.Duration { return b.prefill }, defaultPrefill)
+	f.decode = v.mean(func(b *server) time.Duration { return b.decode }, defaultDecode)
+	f.plain = v.mean(func(b *server) time.Duration { return b.plain }, defaultPlain)
+	v.figures = f
+	return &v.figures
 }
 
 // New returns an empty scheduler.
@@ -84,7 +131,18 @@
 // SetShare changes the part of the fleet that this scheduler uses.
 func (s *Scheduler) SetShare(now time.Time, share float64) {
 	s.options.Share = share
+	s.part = part{}
 	s.limits.SetShare(now, share)
+	s.divide()
+}
+
+// SetPart makes this scheduler use one of equal parts of the fleet. Schedulers that decide alone and
+// have the same records then never choose the same slot.
+func (s *Scheduler) SetPart(now time.Time, index, of int) {
+	s.options.Share = 1 / float64(max(of, 1))
+	s.part = part{index, of}
+	s.limits.SetShare(now, s.options.Share)
+	s.divide()
 }
 
 // SetDocument takes a configuration.
@@ -98,6 +156,7 @@
 			b.engine = v.engine
 		}
 	}
+	s.divide()
 	s.decideAll(now)
 }
 
@@ -118,12 +177,14 @@
 	for i := range records {
 		s.setServer(&records[i])
 	}
+	s.divide()
 	s.decideAll(now)
 }
 
 // SetServer takes one record.
 func (s *Scheduler) SetServer(now time.Time, record model.BackendServer) {
 	s.setServer(&record)
+	s.divide()
 	for _, id := range record.Pools {
 		s.decide(now, s.service(id))
 	}
@@ -145,6 +206,7 @@
 			b.missing = false
 		}
 		b.record = *record
+		v.asOf = time.Time{}
 		if record.State == model.Gone && len(b.works) == 0 {
 			v.drop(b)
 		}
@@ -223,55 +285,85 @@
 		w.Admitted = true
 	}
 	r := v.rank(w.Rank)
-	q := &waiting{Want: w, work: v.expect(&w), late: !now.Before(w.OnTime)}
+	q := &waiting{Want: w, work: v.expect(now, &w), begin: v.begin(now, &w)}
+	// A caller without a first event leaves at the end of its patience, also after a grant.
+	q.Until = q.Until.Add(-min(q.begin, q.Until.Sub(now)/2))
+	q.late = !now.Add(q.begin).Before(q.OnTime)
+	q.events, q.likely = v.events(&w)
 	r.sizes.arrived(q.work)
 	q.behind = r.behind(q.work)
 	q.place()
 	s.age(now, v)
-	wait, left := v.wait(q)/s.slots(now, v), w.Until.Sub(now)
-	if len(s.wants) >= maxWaiting || wait > time.Duration(queueMargin*float64(left)) {
+	if len(s.wants) >= maxWaiting || !s.mayBegin(now, v, q) {
 		s.refund(now, &w)
-		// When it comes back, the queue should be short enough for half of its time.
-		s.deny(now, v, &w, DeniedQueue, spread(w.ID, wait-left/2))
+		s.deny(now, v, &w, DeniedQueue, spread(w.ID, s.drained(now, v)))
 		return
 	}
 	s.wants[w.ID] = q
 	r.add(q)
-	r.arrivals.add(now, q.work)
+	r.arrivals.add(now, q.work.Seconds())
 	s.decide(now, v)
 }
 
+// begin estimates the least time from the grant of a request to its first event: that of the fastest
+// server without other prompts.
+func (v *service) begin(now time.Time, w *Want) time.Duration {
+	if v.engine == nil {
+		return 0
+	}
+	return firstBase + time.Duration(w.Prompt)*v.sum(now).leastPrefill
+}
+
 // expect estimates the time that a request takes on a server of the service.
-func (v *service) expect(w *Want) time.Duration {
+func (v *service) expect(now time.Time, w *Want) time.Duration {
+	f := v.sum(now)
 	if v.engine == nil {
-		return v.mean(func(b *server) time.Duration { return b.plain }, defaultPlain)
+		return f.plain
 	}
-	prefill := v.mean(func(b *server) time.Duration { return b.prefill }, defaultPrefill)
-	decode := v.mean(func(b *server) time.Duration { return b.decode }, defaultDecode)
-	return firstBase + time.Duration(w.Prompt)*prefill + time.Duration(w.events()*float64(decode))
+	events, _ := v.events(w)
+	return firstBase + time.Duration(w.Prompt)*f.prefill + time.Duration(events*float64(f.decode))
 }
 
-// events estimates the number of events of the answer.
-func (w *Want) events() float64 {
-	tokens := w.Expected
-	if tokens <= 0 {
-		tokens = w.Output
+// events estimates the number of events of the answer, and one that most answers do not exceed: none
+// does if the limit is known.
+func (v *service) events(w *Want) (events, likely float64) {
+	perEvent := tokensPerEvent
+	if v.engine != nil && v.engine.EventTokens > 0 {
+		perEvent = v.engine.EventTokens
+	}
+	most := float64(w.Output) / float64(perEvent)
+	if w.Expected <= 0 {
+		return most, most
 	}
-	return float64(tokens) / tokensPerEvent
+	events = float64(w.Expected) / float64(perEvent)
+	if w.Output <= 0 {
+		return events, likelyMargin * events
+	}
+	return min(events, most), min(likelyMargin*events, most)
 }
 
-// wait returns the expected time of the requests that go before another.
-func (v *service) wait(q *waiting) time.Duration {
-	var sum time.Duration
+// mayBegin reports whether what goes before a request is expected to be done before its time to begin
+// runs out.
+func (s *Scheduler) mayBegin(now time.Time, v *service, q *waiting) bool {
+	var ahead time.Duration
 	for _, r := range v.ranks {
 		switch {
 		case r.number < q.Rank:
-			sum += r.work
+			ahead += r.work
 		case r.number == q.Rank:
-			sum += r.ahead(q)
+			ahead += r.ahead(q)
 		}
 	}
-	return sum
+	return ahead/s.slots(now, v) <= time.Duration(queueMargin*float64(q.Until.Sub(now)))
+}
+
+// drained returns when what waits now should be done, which is when a refused caller finds room.
+func (s *Scheduler) drained(now time.Time, v *service) time.Duration {
+	var sum time.Duration
+	for _, r := range v.ranks {
+		sum += r.work
+	}
+	return sum / s.slots(now, v)
 }
 
 // spread varies a time by a quarter in both directions, so that callers who are refused together do
@@ -283,13 +375,10 @@
 
 // slots returns the slots of the service that this scheduler may use, as a divisor of durations.
 func (s *Scheduler) slots(now time.Time, v *service) time.Duration {
-	total := 0
-	for _, b := range v.list {
-		if b.usable(now) {
-			total += b.slots()
-		}
+	if v.divided {
+		return time.Duration(max(v.sum(now).slots, 1))
 	}
-	return time.Duration(max(int(float64(total)*s.options.Share), 1))
+	return time.Duration(max(int(float64(v.sum(now).slots)*s.options.Share), 1))
 }
 
 func (v *service) rank(number int) *rank {
@@ -359,6 +448,7 @@
 		s.limits.Refund(now, w.Team, w.Prompt+w.Output)
 	}
 	s.ended(b, w)
+	s.service(w.Service).rank(w.Rank).ends.add(now, 1)
 	s.decide(now, s.service(w.Service))
 }
 
@@ -396,14 +486,14 @@
 	if b == nil {
 		b = v.add(w.Server)
 	}
-	b.begin(now, w, v.plainOr(&w))
+	b.begin(now, w, v.plainOr(now, &w))
 	s.works[w.ID] = b
 	v.running++
 	v.rank(w.Rank).running++
 }
 
-func (v *service) plainOr(w *Work) time.Duration {
-	return v.expect(&Want{Prompt: w.Prompt, Output: w.Output, Expected: w.Expected})
+func (v *service) plainOr(now time.Time, w *Work) time.Duration {
+	return v.expect(now, &Want{Prompt: w.Prompt, Output: w.Output, Expected: w.Expected})
 }
 
 // Forget removes everything of an instance, whose connections to the servers have ended or whose
--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -340,3 +340,102 @@
 	all := s.Take()
 	g.Expect(granted(all)).To(HaveLen(2), "%+v", all)
 }
+
+// learn gives an engine times for a prompt token and for an event.
+func learn(s *schedule.Scheduler, id model.BackendServerID, perToken, perEvent time.Duration) {
+	at := start.Add(-time.Second)
+	for i := range 40 {
+		w := schedule.Work{ID: model.RequestID{Instance: "learn", Seq: uint64(i)}, Service: "llm", Server: id, Prompt: 1000}
+		s.Adopt(at, w, false)
+		first := 5*time.Millisecond + 1000*perToken
+		s.Report(at, schedule.Report{ID: w.ID, Server: id, Outcome: schedule.Began, First: first})
+		s.Report(at, schedule.Report{ID: w.ID, Server: id, Outcome: schedule.Finished, First: first, Rest: 10 * perEvent, Events: 11})
+	}
+	s.Take()
+}
+
+// Guards, under a burst of long answers that only a busy fast server can end in time, against free
+// slots of a slow server while short requests wait behind the long ones.
+func TestLongAnswersThatWaitForAFastServerDoNotHoldUpShortOnes(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(2, 0)
+	learn(s, "e0", 20*time.Microsecond, 10*time.Millisecond)
+	learn(s, "e1", 60*time.Microsecond, 50*time.Millisecond)
+	for i, server := range []model.BackendServerID{"e0", "e0", "e1"} {
+		s.Adopt(start, schedule.Work{ID: model.RequestID{Instance: "x", Seq: uint64(i)}, Service: "llm", Server: server, Prompt: 100, Started: true}, false)
+	}
+	for i := range 30 {
+		long := want(uint64(i), "llm", 2, start)
+		long.Expected, long.Output = 2400, 2800
+		s.Ask(start, long)
+	}
+	g.Expect(granted(s.Take())).To(BeEmpty())
+	now := start.Add(time.Millisecond)
+	s.Ask(now, want(100, "llm", 2, now))
+	d := granted(s.Take())
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Server.ID).To(Equal(model.BackendServerID("e1")))
+}
+
+// Guards, under load with long prompts, against a late first event on a slow server when a fast one
+// has a place a moment later.
+func TestLongPromptWaitsForAServerThatReadsItOnTime(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(2, 0)
+	learn(s, "e0", 20*time.Microsecond, 25*time.Millisecond)
+	learn(s, "e1", 60*time.Microsecond, 25*time.Millisecond)
+	busy := []schedule.Work{
+		{ID: model.RequestID{Instance: "x", Seq: 1}, Service: "llm", Server: "e0", Prompt: 100, Started: true},
+		{ID: model.RequestID{Instance: "x", Seq: 2}, Service: "llm", Server: "e0", Prompt: 100, Started: true},
+	}
+	for _, w := range busy {
+		s.Adopt(start, w, false)
+	}
+	w := want(1, "llm", 0, start)
+	w.Prompt = 10_000
+	s.Ask(start, w)
+	g.Expect(granted(s.Take())).To(BeEmpty())
+	now := start.Add(50 * time.Millisecond)
+	s.Report(now, schedule.Report{ID: busy[0].ID, Server: "e0", Outcome: schedule.Finished})
+	d := granted(s.Take())
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Server.ID).To(Equal(model.BackendServerID("e0")))
+}
+
+// Guards, when no fast server has a place in time, against a long prompt that waits for one until its
+// time runs out: once it cannot be on time it takes any server.
+func TestLongPromptThatIsLateTakesAnyServer(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(2, 0)
+	learn(s, "e0", 20*time.Microsecond, 25*time.Millisecond)
+	learn(s, "e1", 60*time.Microsecond, 25*time.Millisecond)
+	for i := range 2 {
+		s.Adopt(start, schedule.Work{ID: model.RequestID{Instance: "x", Seq: uint64(i)}, Service: "llm", Server: "e0", Prompt: 100, Started: true}, false)
+	}
+	w := want(1, "llm", 0, start)
+	w.Prompt = 10_000
+	s.Ask(start, w)
+	g.Expect(granted(s.Take())).To(BeEmpty())
+	s.Tick(start.Add(300 * time.Millisecond))
+	g.Expect(granted(s.Take())).To(HaveLen(1))
+}
+
+// Guards, under a burst, against callers of long answers that are told to come back after the length of
+// their own answer, when the others have long been served.
+func TestRefusedCallerComesBackWhenTheOthersAreServed(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(1, 0)
+	for i := range 2 {
+		s.Adopt(start, schedule.Work{ID: model.RequestID{Instance: "x", Seq: uint64(i)}, Service: "llm", Server: "e0", Prompt: 100, Started: true}, false)
+	}
+	long := want(1, "llm", 2, start)
+	long.Expected, long.Output, long.End = 2800, 2800, start.Add(time.Minute)
+	s.Ask(start, long)
+	s.Ask(start, want(2, "llm", 2, start.Add(time.Second)))
+	s.Tick(long.Until)
+	denied := s.Take()
+	g.Expect(denied).To(HaveLen(1))
+	g.Expect(denied[0].Reason).To(Equal(schedule.DeniedTime))
+	// One short answer of 10 events waits for two slots.
+	g.Expect(denied[0].RetryAfter).To(BeNumerically("<", time.Second))
+}
--- a/internal/decide/schedule/server.go
+++ b/internal/decide/schedule/server.go
@@ -37,6 +37,8 @@
 	// after three times the expected time and a fixed part for the network.
 	overdueFactor = 3
 	overdueBase   = 300 * time.Millisecond
+	// suspectInterval is the time between two looks for overdue calls, a small part of overdueBase.
+	suspectInterval = 20 * time.Millisecond
 	// crossing is what a server in another failure domain costs in the choice: the round trip, and
 	// the price of the bytes.
 	crossing = 6 * time.Millisecond
@@ -61,6 +63,11 @@
 	// absent is the sequence of the record when the server was not found at its address.
 	absent  uint64
 	missing bool
+	// suspect is set while a call is overdue.
+	suspect bool
+	// limit is the number of slots that this scheduler may use, if limited.
+	limited bool
+	limit   int
 }
 
 type work struct {
@@ -71,6 +78,9 @@
 }
 
 func (s *server) slots() int {
+	if s.limited {
+		return s.limit
+	}
 	if s.engine != nil && s.engine.Slots > 0 && (s.record.Slots <= 0 || s.engine.Slots < s.record.Slots) {
 		return s.engine.Slots
 	}
@@ -170,7 +180,7 @@
 	}
 	w.Started = true
 	s.pending -= w.Prompt
-	s.progress, s.pause = now, 0
+	s.progress, s.pause, s.suspect = now, 0, false
 	if s.engine != nil && took > firstBase && w.Prompt > 0 {
 		s.prefill = blend(s.prefill, (took-firstBase)/time.Duration(w.ahead+w.Prompt))
 	}
@@ -178,7 +188,7 @@
 
 // finished takes a whole answer.
 func (s *server) finished(now time.Time, r Report) {
-	s.progress, s.pause = now, 0
+	s.progress, s.pause, s.suspect = now, 0, false
 	s.failures -= s.failures * failureRate
 	if s.engine != nil && r.Events > 1 {
 		s.decode = blend(s.decode, r.Rest/time.Duration(r.Events-1))
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -81,6 +81,8 @@
 	Slots int
 	// MemoryTokens is the memory for running requests and cached prompts.
 	MemoryTokens int
+	// EventTokens is the number of output tokens in one event of an answer; 0 if it is not known.
+	EventTokens int
 }
 
 // RoutedTeam is a team with its keys and its allotment.
--- a/internal/service/allocate/service.go
+++ b/internal/service/allocate/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"briaryard/internal/clock"
@@ -129,7 +130,8 @@
 	case servers:
 		s.machine.SetServers(now, m.records)
 	case *roster.Lists:
-		s.machine.SetInstances(now, len(m.All()))
+		self, _ := s.peers.Self()
+		s.machine.SetInstances(now, self, instances(m.All()))
 	case port.ControlStatus:
 		s.machine.SetDispatcher(now, m.Leader)
 	case port.PeerStatus:
@@ -140,6 +142,15 @@
 	s.perform(now)
 }
 
+func instances(entries []roster.Entry) []model.InstanceID {
+	out := make([]model.InstanceID, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, e.Instance)
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (s *Service) onTick(now time.Time) {
 	s.machine.Tick(now)
 	s.perform(now)
