Refuse sooner and let a denial stand while a burst lasts

Change: a request waits for a third of its time at most, so that its caller has time for another try. A denial for a long queue or a used-up allotment stands for 150 ms at the entry for requests that could not fare better.

--- a/internal/decide/allocate/machine.go
+++ b/internal/decide/allocate/machine.go
@@ -96,6 +96,7 @@
 	asks       map[model.RequestID]*ask
 	works      map[model.RequestID]schedule.Work
 	effects    []Effect
+	denials    standing
 }
 
 // New returns a machine that decides alone.
@@ -103,6 +104,7 @@
 	return &Machine{
 		local: schedule.New(schedule.Options{Tolerance: t, Share: 1}),
 		asks:  make(map[model.RequestID]*ask), works: make(map[model.RequestID]schedule.Work),
+		denials: newStanding(),
 	}
 }
 
@@ -177,6 +179,7 @@
 		return
 	}
 	m.joined, m.heard = true, now
+	m.denials = newStanding()
 	m.emit(Followed{Dispatcher: from, Reason: "it has taken this instance's requests"})
 	m.collect()
 	works := make([]schedule.Work, 0, len(m.works))
@@ -199,11 +202,15 @@
 func (m *Machine) Ask(now time.Time, w schedule.Want) {
 	a := &ask{want: w}
 	m.asks[w.ID] = a
-	if m.joined {
-		m.send(now, a)
+	if !m.joined {
+		m.local.Ask(now, w)
+		return
+	}
+	if d, ok := m.denials.find(now, &w); ok {
+		m.decided(now, a, d, true)
 		return
 	}
-	m.local.Ask(now, w)
+	m.send(now, a)
 }
 
 // Withdraw takes a request back that has no decision.
@@ -252,6 +259,7 @@
 		}
 		return
 	}
+	m.denials.note(now, &a.want, d)
 	m.decided(now, a, d, false)
 }
 
--- a/internal/decide/allocate/machine_test.go
+++ b/internal/decide/allocate/machine_test.go
@@ -319,3 +319,43 @@
 		g.Expect(n).To(Equal(slots), string(id))
 	}
 }
+
+// Guards, in a burst of several times what the servers can do, against a dispatcher that spends its time
+// on refusals: a denial stands for a moment for requests that could not fare better, and for no other.
+func TestADenialStandsForLikeRequests(t *testing.T) {
+	g := NewWithT(t)
+	m := allocate.New(allotment.Tolerance{})
+	m.SetDispatcher(start, "d")
+	m.Joined(start, "d", of[allocate.Join](m.Take())[0].Session)
+	m.Take()
+	asked := func(now time.Time, w schedule.Want) bool {
+		m.Ask(now, w)
+		return len(of[allocate.Ask](m.Take())) > 0
+	}
+	first := want(1, start)
+	first.Rank = 1
+	g.Expect(asked(start, first)).To(BeTrue())
+	m.Verdict(start, "d", 1, schedule.Decision{ID: first.ID, Denied: true, Reason: schedule.DeniedQueue, RetryAfter: time.Second})
+	m.Take()
+
+	now := start.Add(50 * time.Millisecond)
+	like := func(seq uint64) schedule.Want {
+		w := first
+		w.ID = want(seq, now).ID
+		return w
+	}
+	m.Ask(now, like(2))
+	decided := of[allocate.Decided](m.Take())
+	g.Expect(decided).To(HaveLen(1))
+	g.Expect(decided[0].Denied).To(BeTrue())
+	g.Expect(decided[0].ID).To(Equal(like(2).ID))
+
+	urgent, small, patient := like(3), like(4), like(5)
+	urgent.Rank = 0
+	small.Prompt = first.Prompt - 1
+	patient.Until = patient.Until.Add(time.Second)
+	g.Expect(asked(now, urgent)).To(BeTrue(), "a more urgent request")
+	g.Expect(asked(now, small)).To(BeTrue(), "a smaller request")
+	g.Expect(asked(now, patient)).To(BeTrue(), "a request with more time")
+	g.Expect(asked(start.Add(time.Second), like(6))).To(BeTrue(), "later")
+}
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -18,6 +18,10 @@
 	// queueMargin is how far the expected wait must exceed a request's time before it is refused on
 	// arrival, or when it has become late. Estimates of lengths are off by a factor of two.
 	queueMargin = 1.2
+	// holdShare is the part of its whole time for which a request waits at most. Callers honour a
+	// Retry-After of up to a third of the time that they have left, and then have four ninths of it for
+	// the second try.
+	holdShare = 1.0 / 3
 	// minRetryAfter keeps callers that are refused from coming back at once.
 	minRetryAfter = 200 * time.Millisecond
 	// noServerWait is how long a request waits for a backend server when there is none.
@@ -286,6 +290,7 @@
 	}
 	r := v.rank(w.Rank)
 	q := &waiting{Want: w, work: v.expect(now, &w), begin: v.begin(now, &w)}
+	q.Until = holdUntil(&w)
 	// A caller without a first event leaves at the end of its patience, also after a grant.
 	q.Until = q.Until.Add(-min(q.begin, q.Until.Sub(now)/2))
 	q.late = !now.Add(q.begin).Before(q.OnTime)
@@ -305,6 +310,19 @@
 	s.decide(now, v)
 }
 
+// holdUntil returns when a request is refused at the latest. A caller that is held for longer has no
+// time left in which to come back.
+func holdUntil(w *Want) time.Time {
+	hold := w.Arrived.Add(time.Duration(holdShare * float64(w.End.Sub(w.Arrived))))
+	if hold.Before(w.OnTime) {
+		hold = w.OnTime
+	}
+	if w.Until.Before(hold) {
+		return w.Until
+	}
+	return hold
+}
+
 // begin estimates the least time from the grant of a request to its first event: that of the fastest
 // server without other prompts.
 func (v *service) begin(now time.Time, w *Want) time.Duration {
--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -439,3 +439,23 @@
 	// One short answer of 10 events waits for two slots.
 	g.Expect(denied[0].RetryAfter).To(BeNumerically("<", time.Second))
 }
+
+// Guards, under overload, against callers who are held until their time is over: who is refused after a
+// third of it has time for another try.
+func TestRefusedCallerHasTimeForAnotherTry(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(1, 0)
+	for i := range 2 {
+		s.Adopt(start, schedule.Work{ID: model.RequestID{Instance: "x", Seq: uint64(i)}, Service: "llm", Server: "e0", Prompt: 100, Started: true}, false)
+	}
+	w := want(1, "llm", 1, start)
+	w.End = start.Add(3 * time.Second)
+	w.Until = w.End
+	s.Ask(start, w)
+	s.Tick(w.OnTime)
+	g.Expect(s.Take()).To(BeEmpty(), "nothing waits before it")
+	s.Tick(start.Add(time.Second))
+	denied := s.Take()
+	g.Expect(denied).To(HaveLen(1))
+	g.Expect(denied[0].Denied).To(BeTrue())
+}
