Do not refuse a second try for its age

Cause: since a request waits for a third of its time at most, the second try of an answer that broke off later than that was refused on arrival (found by reading the change; TestSecondTryIsNotRefusedForItsAge fails before).

Ruled out: counting from the second try's own arrival; its caller waits for an answer that has begun and does not come back.

Change: only first tries are bounded.

--- a/internal/decide/schedule/doc.go
+++ b/internal/decide/schedule/doc.go
@@ -8,11 +8,14 @@
 // once.
 //
 // Order: by the route's rank; within a rank, requests that can still be on time go before late
-// ones, and each group in the order in which its time runs out. So a more urgent kind never waits
-// for a less urgent one, and within a kind the order of arrival bounds every wait.
+// ones, and each group in the order in which its time runs out, long ones up to two seconds later
+// unless their size class is served too seldom. So a more urgent kind never waits for a less urgent
+// one, and within a kind the order of arrival bounds every wait. A request that only some servers
+// can begin on time or end in time waits for one of them and holds up no other. It is refused once
+// what goes before it takes longer than it may wait, or after a third of its time, while its caller
+// can still come back.
 //
-// It fails by refusing: a request that no server can begin to answer in time is denied as soon as
-// that is known, and the denial says when to come back. Knowledge that is lost, as after a change
+// It fails by refusing, and the denial says when to come back. Knowledge that is lost, as after a change
 // of the dispatcher, makes choices worse and never runs a request twice: the instance that owns a
 // request decides about that.
 package schedule
--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -459,3 +459,17 @@
 	g.Expect(denied).To(HaveLen(1))
 	g.Expect(denied[0].Denied).To(BeTrue())
 }
+
+// Guards against the loss of an answer that broke off: its second try may take all the time that is left.
+func TestSecondTryIsNotRefusedForItsAge(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(2, 0)
+	w := want(1, "llm", 1, start)
+	w.End = start.Add(4 * time.Second)
+	w.Until = w.End
+	w.Tried, w.Admitted = []model.BackendServerID{"e0"}, true
+	s.Ask(start.Add(2*time.Second), w)
+	d := granted(s.Take())
+	g.Expect(d).To(HaveLen(1))
+	g.Expect(d[0].Server.ID).To(Equal(model.BackendServerID("e1")))
+}
