--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -316,6 +316,27 @@
 	g.Expect(granted(s.Take())).To(HaveLen(1))
 }
 
+// Guards, under overload by short chats, against slots that stay free for urgent requests while a slot
+// comes free many times a second.
+func TestNoSlotsAreKeptWhereLessUrgentAnswersEndOften(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(5, 0)
+	now := start
+	for i := range 40 {
+		now = now.Add(25 * time.Millisecond)
+		s.Ask(now, want(uint64(2*i), "llm", 0, now))
+		s.Ask(now, want(uint64(2*i+1), "llm", 2, now))
+		for _, d := range granted(s.Take()) {
+			finish(s, now, d)
+		}
+	}
+	s.Take()
+	for i := range 30 {
+		s.Ask(now, want(uint64(1000+i), "llm", 2, now))
+	}
+	g.Expect(granted(s.Take())).To(HaveLen(10))
+}
+
 // Guards, under overload, against a kind of which few callers are served because the longest answers
 // take the slots, and against long ones that are never served.
 func TestShortAnswersGoFirstWithinBounds(t *testing.T) {
@@ -354,49 +375,68 @@
 	s.Take()
 }
 
-// Guards, under a burst of long answers that only a busy fast server can end in time, against free
-// slots of a slow server while short requests wait behind the long ones.
-func TestLongAnswersThatWaitForAFastServerDoNotHoldUpShortOnes(t *testing.T) {
+// unlike is a fleet of engines of which the first half is fast.
+func unlike(engines int) *schedule.Scheduler {
+	s := fleet(engines, 0)
+	for i := range engines {
+		id := model.BackendServerID(fmt.Sprintf("e%d", i))
+		if i < engines/2 {
+			learn(s, id, 20*time.Microsecond, 10*time.Millisecond)
+		} else {
+			learn(s, id, 60*time.Microsecond, 50*time.Millisecond)
+		}
+	}
+	return s
+}
+
+// occupy gives an engine requests that have begun.
+func occupy(s *schedule.Scheduler, engine, requests int) (ids []model.RequestID) {
+	for i := range requests {
+		id := model.RequestID{Instance: "x", Seq: uint64(100*engine + i)}
+		s.Adopt(start, schedule.Work{
+			ID: id, Service: "llm", Server: model.BackendServerID(fmt.Sprintf("e%d", engine)), Prompt: 100, Started: true,
+		}, false)
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Guards, under a burst of long answers that only busy fast servers can end in time, against free slots
+// of slow servers while requests that fit them wait behind the long ones.
+func TestLongAnswersThatWaitForAFastServerDoNotHoldUpOthers(t *testing.T) {
 	g := NewWithT(t)
-	s := fleet(2, 0)
-	learn(s, "e0", 20*time.Microsecond, 10*time.Millisecond)
-	learn(s, "e1", 60*time.Microsecond, 50*time.Millisecond)
-	for i, server := range []model.BackendServerID{"e0", "e0", "e1"} {
-		s.Adopt(start, schedule.Work{ID: model.RequestID{Instance: "x", Seq: uint64(i)}, Service: "llm", Server: server, Prompt: 100, Started: true}, false)
+	const engines = 40
+	s := unlike(engines)
+	for i := range engines {
+		occupy(s, i, 2-2*i/engines)
 	}
 	for i := range 30 {
 		long := want(uint64(i), "llm", 2, start)
-		long.Expected, long.Output = 2400, 2800
+		long.Expected, long.Output, long.End = 400, 2800, start.Add(5*time.Second)
 		s.Ask(start, long)
 	}
 	g.Expect(granted(s.Take())).To(BeEmpty())
-	now := start.Add(time.Millisecond)
-	s.Ask(now, want(100, "llm", 2, now))
+	now := start.Add(10 * time.Millisecond)
+	other := want(100, "llm", 2, now)
+	other.Expected, other.Output = 300, 2800
+	s.Ask(now, other)
 	d := granted(s.Take())
 	g.Expect(d).To(HaveLen(1))
-	g.Expect(d[0].Server.ID).To(Equal(model.BackendServerID("e1")))
+	g.Expect(d[0].ID).To(Equal(other.ID))
 }
 
 // Guards, under load with long prompts, against a late first event on a slow server when a fast one
 // has a place a moment later.
 func TestLongPromptWaitsForAServerThatReadsItOnTime(t *testing.T) {
 	g := NewWithT(t)
-	s := fleet(2, 0)
-	learn(s, "e0", 20*time.Microsecond, 25*time.Millisecond)
-	learn(s, "e1", 60*time.Microsecond, 25*time.Millisecond)
-	busy := []schedule.Work{
-		{ID: model.RequestID{Instance: "x", Seq: 1}, Service: "llm", Server: "e0", Prompt: 100, Started: true},
-		{ID: model.RequestID{Instance: "x", Seq: 2}, Service: "llm", Server: "e0", Prompt: 100, Started: true},
-	}
-	for _, w := range busy {
-		s.Adopt(start, w, false)
-	}
+	s := unlike(2)
+	busy := occupy(s, 0, 2)
 	w := want(1, "llm", 0, start)
 	w.Prompt = 10_000
 	s.Ask(start, w)
 	g.Expect(granted(s.Take())).To(BeEmpty())
 	now := start.Add(50 * time.Millisecond)
-	s.Report(now, schedule.Report{ID: busy[0].ID, Server: "e0", Outcome: schedule.Finished})
+	s.Report(now, schedule.Report{ID: busy[0], Server: "e0", Outcome: schedule.Finished})
 	d := granted(s.Take())
 	g.Expect(d).To(HaveLen(1))
 	g.Expect(d[0].Server.ID).To(Equal(model.BackendServerID("e0")))
@@ -406,12 +446,8 @@
 // time runs out: once it cannot be on time it takes any server.
 func TestLongPromptThatIsLateTakesAnyServer(t *testing.T) {
 	g := NewWithT(t)
-	s := fleet(2, 0)
-	learn(s, "e0", 20*time.Microsecond, 25*time.Millisecond)
-	learn(s, "e1", 60*time.Microsecond, 25*time.Millisecond)
-	for i := range 2 {
-		s.Adopt(start, schedule.Work{ID: model.RequestID{Instance: "x", Seq: uint64(i)}, Service: "llm", Server: "e0", Prompt: 100, Started: true}, false)
-	}
+	s := unlike(2)
+	occupy(s, 0, 2)
 	w := want(1, "llm", 0, start)
 	w.Prompt = 10_000
 	s.Ask(start, w)
@@ -425,9 +461,7 @@
 func TestRefusedCallerComesBackWhenTheOthersAreServed(t *testing.T) {
 	g := NewWithT(t)
 	s := fleet(1, 0)
-	for i := range 2 {
-		s.Adopt(start, schedule.Work{ID: model.RequestID{Instance: "x", Seq: uint64(i)}, Service: "llm", Server: "e0", Prompt: 100, Started: true}, false)
-	}
+	occupy(s, 0, 2)
 	long := want(1, "llm", 2, start)
 	long.Expected, long.Output, long.End = 2800, 2800, start.Add(time.Minute)
 	s.Ask(start, long)
@@ -445,9 +479,7 @@
 func TestRefusedCallerHasTimeForAnotherTry(t *testing.T) {
 	g := NewWithT(t)
 	s := fleet(1, 0)
-	for i := range 2 {
-		s.Adopt(start, schedule.Work{ID: model.RequestID{Instance: "x", Seq: uint64(i)}, Service: "llm", Server: "e0", Prompt: 100, Started: true}, false)
-	}
+	occupy(s, 0, 2)
 	w := want(1, "llm", 1, start)
 	w.End = start.Add(3 * time.Second)
 	w.Until = w.End
