--- a/internal/decide/schedule/decide.go
+++ b/internal/decide/schedule/decide.go
@@ -216,13 +216,13 @@
 	// A request is long if an average server may not end it in time.
 	long := v.engine != nil && time.Duration(endMargin*q.events*float64(mean)) > left
 	// A prompt that only a fast server reads on time waits for one of them.
-	choosy := v.engine != nil && !q.late && !now.Add(firstBase+time.Duration(q.Prompt)*v.sum(now).leastPrefill).After(q.OnTime)
+	onTimeOnly := v.engine != nil && !q.late && !now.Add(firstBase+time.Duration(q.Prompt)*v.sum(now).leastPrefill).After(q.OnTime)
 	for _, b := range o.list {
 		if !b.room(&q.Want) || slices.Contains(q.Tried, b.record.ID) || !serves(&b.record, q.Model) {
 			continue
 		}
 		first := b.first(&q.Want)
-		if choosy && now.Add(first).After(q.OnTime) {
+		if onTimeOnly && now.Add(first).After(q.OnTime) {
 			continue
 		}
 		if v.engine != nil && first+b.rest(q.likely) > left && !o.idle() {
