Refuse at a stopping instance what may run beyond its stop

Ruled out: the configuration sent at 6.0 s; other streams of the stop are cut without it. The expected length of an answer is not used, because it is no bound.

--- a/internal/decide/relay/admit.go
+++ b/internal/decide/relay/admit.go
@@ -33,6 +33,8 @@
 	// that confirmation is valid.
 	ConfirmedAt time.Time
 	Lease       time.Duration
+	// StopAt is when this instance ends its open requests because it is being stopped, or zero.
+	StopAt time.Time
 }
 
 // Current reports whether the table may be used. A revoked key must not be admitted for longer than
@@ -41,7 +43,8 @@
 	return a.Table != nil && now.Sub(a.ConfirmedAt) < a.Lease
 }
 
-// Admit resolves the route, the service and the team of an arrival and sets its deadline.
+// Admit resolves the route, the service and the team of an arrival and sets its deadline. A stopping
+// instance refuses what may run beyond its stop.
 func (a *Admission) Admit(now time.Time, r *Arrival) (Request, fault.Fault) {
 	if a.Table == nil {
 		return Request{}, &fault.Unconfirmed{}
@@ -70,9 +73,14 @@
 	if r.Timeout > 0 && r.Timeout < timeout {
 		timeout = r.Timeout
 	}
+	deadline := arrived.Add(timeout)
+	if !a.StopAt.IsZero() && deadline.After(a.StopAt) {
+		// The expected length of an answer is no bound; only the deadline is.
+		return Request{}, &fault.InstanceClosing{}
+	}
 	return Request{
 		ID: r.ID, Attempt: r.Attempt, Route: route, Service: routing.Service(route, r.SplitPoint), Team: team, Revision: revision,
-		Arrived: arrived, Deadline: arrived.Add(timeout), PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, ExpectedTokens: r.ExpectedTokens,
+		Arrived: arrived, Deadline: deadline, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, ExpectedTokens: r.ExpectedTokens,
 		Model: r.Model, Domain: r.Domain,
 	}, nil
 }
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -157,6 +157,9 @@
 	SubmitRouted(s RoutedSubmission) error
 	// CallerLeft reports that the caller of a submission has disconnected.
 	CallerLeft(id model.RequestID)
+	// SetStopTime sets the time on clock.Boot at which open requests end because the instance is
+	// being stopped. Requests that may take longer are refused from now on.
+	SetStopTime(at time.Time)
 	// SetClosing sets whether new requests are refused.
 	SetClosing(closing bool)
 	// DrainRouted calls done once when no request is open.
--- a/internal/service/presence/service.go
+++ b/internal/service/presence/service.go
@@ -126,7 +126,7 @@
 	case port.RouteView:
 		s.admission.Table, s.admission.ConfirmedAt = m.Table, m.AsOf
 	case leaveRequest:
-		s.startStop(m)
+		s.startStop(now, m)
 	case step:
 		s.handleStep(m)
 	}
@@ -153,12 +153,13 @@
 }
 
 // startStop schedules the steps of the stop. Only the first request has an effect.
-func (s *Service) startStop(m leaveRequest) {
+func (s *Service) startStop(now time.Time, m leaveRequest) {
 	if s.finished != nil {
 		return
 	}
 	s.finished = m.finished
 	s.pendingSteps = 2
+	s.relay.SetStopTime(now.Add(s.options.MaxStopDuration))
 	time.AfterFunc(s.options.AcceptDuration, func() { s.post(refuseRequests) })
 	time.AfterFunc(s.options.MinStopDuration, func() { s.post(minStopElapsed) })
 	time.AfterFunc(s.options.MaxStopDuration, func() { s.post(maxStopElapsed) })
--- a/internal/service/presence/service_test.go
+++ b/internal/service/presence/service_test.go
@@ -25,12 +25,14 @@
 	port.Roster
 	published []bool
 	closing   bool
+	stopAt    time.Time
 	drained   func()
 	finished  int
 }
 
 func (i *instance) SetPresence(e roster.Entry)               { i.published = append(i.published, e.Ready) }
 func (i *instance) SetClosing(closing bool)                  { i.closing = closing }
+func (i *instance) SetStopTime(at time.Time)                 { i.stopAt = at }
 func (i *instance) DrainRouted(done func())                  { i.drained = done }
 func (i *instance) confirm(now time.Time)                    { i.handle(now, port.RouteView{Table: table, AsOf: now}) }
 func (i *instance) handleSteps(now time.Time, steps ...step) { i.handleEach(now, steps) }
@@ -130,3 +132,14 @@
 		t.Errorf("finished %d times, want once", i.finished)
 	}
 }
+
+// Guards against a stop that still accepts what it will cut off: the relay must know from the first
+// moment of the stop when open requests end.
+func TestStopTellsTheRelayWhenOpenRequestsEnd(t *testing.T) {
+	i, now := newInstance(t), time.Now()
+	i.stop(now)
+	i.stop(now.Add(time.Second))
+	if want := now.Add(never); !i.stopAt.Equal(want) {
+		t.Errorf("open requests end at %v, want %v", i.stopAt, want)
+	}
+}
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -47,6 +47,8 @@
 
 type closingChanged struct{ on bool }
 
+type stopScheduled struct{ at time.Time }
+
 // Service owns the routed requests of this instance.
 type Service struct {
 	log      *event.Log
@@ -135,6 +137,9 @@
 // SetClosing implements port.Relay.
 func (s *Service) SetClosing(on bool) { s.put(closingChanged{on}) }
 
+// SetStopTime implements port.Relay.
+func (s *Service) SetStopTime(at time.Time) { s.put(stopScheduled{at}) }
+
 // DrainRouted implements port.Relay.
 func (s *Service) DrainRouted(done func()) { s.put(drainRequest{done}) }
 
@@ -158,6 +163,8 @@
 		s.machine.SetInstances(len(m.All()))
 	case closingChanged:
 		s.closing = m.on
+	case stopScheduled:
+		s.admission.StopAt = m.at
 	case drainRequest:
 		s.onDrained = append(s.onDrained, m.done)
 	}
