Bound what a backend server may send without an end

Ruled out as a cause: the head of a final answer and the answers to other attempts, which were bounded already. Change: httpmsg.EventSplitter has a limit (a quarter of the process's memory for all open requests together, 19 KB with 112 MB; a sound event has below 1 KB) and searches on where it ended; all heads up to the first final one share one allowance, and at most 8 are interim; a refusal counts once its head is read; an unneeded body is read for 64 KiB or 250 ms, else the connection is closed.

--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -200,7 +200,9 @@
 	}
 	return fx.Provide(
 		asService(func(l *event.Log) *allocate.Service { return allocate.New(l, s.Tolerance) }),
-		asService(httpbackend.New),
+		asService(func(m *metric.Set) *httpbackend.Service {
+			return httpbackend.New(m, httpbackend.Options{MaxEventBytes: s.maxEventBytes()})
+		}),
 		asService(func(l *event.Log, m *metric.Set) *relay.Service {
 			return relay.New(l, m, relay.Options{Domain: s.Domain, ConfigLease: s.ConfigLease, Retries: s.Retries})
 		}),
@@ -212,6 +214,22 @@
 	)
 }
 
+const (
+	// eventMemoryShare is the share of the process's memory that incomplete events of all open
+	// requests may use together.
+	eventMemoryShare = 0.25
+	// defaultEventBytes is the limit for one event where the memory is not limited.
+	defaultEventBytes = 256 << 10
+)
+
+// maxEventBytes returns the limit in bytes for one event of a stream.
+func (s *RoutedSettings) maxEventBytes() int {
+	if s.MemoryBytes <= 0 {
+		return defaultEventBytes
+	}
+	return min(int(eventMemoryShare*float64(s.MemoryBytes))/relay.MaxOpenRequests, defaultEventBytes)
+}
+
 const (
 	// acceptShare, stayShare and endShare are shares of the time for a stop. After them a process
 	// refuses new requests, may exit if no request is open, and exits in any case. Callers use an
--- a/internal/httpmsg/events.go
+++ b/internal/httpmsg/events.go
@@ -6,11 +6,14 @@
 )
 
 // EventSplitter splits a stream of server-sent events into complete events, without changing the
-// bytes, and checks the order of their ids.
+// bytes, and checks the order of their ids. It holds at most one incomplete event of bounded size.
 type EventSplitter struct {
-	// pending holds the bytes of the event that is not complete yet.
-	pending []byte
-	lastID  string
+	maxEventBytes int
+	// pending holds the bytes of the event that is not complete yet, of which the first searched bytes
+	// contain no end.
+	pending  []byte
+	searched int
+	lastID   string
 	// lastNumber is the value of lastID if numeric is set.
 	lastNumber uint64
 	numeric    bool
@@ -21,6 +24,18 @@
 
 func (e *OrderError) Error() string { return "event " + e.Got + " follows event " + e.Before }
 
+// EventTooLongError reports an event that is longer than the limit in bytes.
+type EventTooLongError struct{ Limit int }
+
+func (e *EventTooLongError) Error() string {
+	return "an event is longer than " + strconv.Itoa(e.Limit) + " bytes"
+}
+
+// NewEventSplitter returns a splitter for events of up to maxEventBytes, including the blank line.
+func NewEventSplitter(maxEventBytes int) *EventSplitter {
+	return &EventSplitter{maxEventBytes: maxEventBytes}
+}
+
 // ResumeAfter sets the id of the event after which the stream continues.
 func (e *EventSplitter) ResumeAfter(id string) { e.setLast([]byte(id)) }
 
@@ -40,14 +55,24 @@
 func (e *EventSplitter) PendingBytes() int { return len(bytes.TrimSpace(e.pending)) }
 
 // Feed adds data and returns the bytes and the number of the events that it completes. The returned
-// slice belongs to the caller. An event out of order is reported as an *OrderError, and neither that
-// event nor any after it is returned.
+// slice belongs to the caller. An event out of order is reported as an *OrderError, an event that is too
+// long as an *EventTooLongError; neither that event nor any after it is returned, and no more data may
+// be added.
 func (e *EventSplitter) Feed(data []byte) (whole []byte, events int, err error) {
 	e.pending = append(e.pending, data...)
 	consumed := 0
 	for {
-		end := eventEnd(e.pending[consumed:])
+		end := eventEnd(e.pending[consumed:], e.searched)
+		length := end
 		if end < 0 {
+			length = len(e.pending) - consumed
+		}
+		if length > e.maxEventBytes {
+			err = &EventTooLongError{Limit: e.maxEventBytes}
+			break
+		}
+		if end < 0 {
+			e.searched = length
 			break
 		}
 		if id := eventID(e.pending[consumed : consumed+end]); id != nil {
@@ -57,11 +82,15 @@
 		}
 		consumed += end
 		events++
+		e.searched = 0
 	}
 	if consumed > 0 {
 		whole = bytes.Clone(e.pending[:consumed])
 		e.pending = append(e.pending[:0], e.pending[consumed:]...)
 	}
+	if err != nil {
+		e.pending = nil
+	}
 	return whole, events, err
 }
 
@@ -79,12 +108,14 @@
 }
 
 // eventEnd returns the length of the first event including its blank line, or -1 if there is no
-// complete event.
-func eventEnd(b []byte) int {
+// complete event. The first searched bytes are known to contain no end.
+func eventEnd(b []byte, searched int) int {
 	end := -1
 	for _, blank := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.Index(b, blank); i >= 0 && (end < 0 || i+len(blank) < end) {
-			end = i + len(blank)
+		// A blank line may begin within the searched bytes.
+		from := max(searched-len(blank)+1, 0)
+		if i := bytes.Index(b[from:], blank); i >= 0 && (end < 0 || from+i+len(blank) < end) {
+			end = from + i + len(blank)
 		}
 	}
 	return end
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -24,9 +24,15 @@
 	// is read. A server may answer a longer request before it has read all of it.
 	maxInlineRequest = 4 << 10
 	// maxBufferedBody is the largest body in bytes that is buffered until it is complete, so that
-	// an incomplete answer can be replaced. It does not apply to event streams. It also bounds how
-	// much of an unneeded body is discarded.
+	// an incomplete answer can be replaced. It does not apply to event streams.
 	maxBufferedBody = 256 << 10
+	// maxDiscardedBody and discardTimeout bound the rest of an unneeded body that is read so that its
+	// connection can be kept. A new connection costs less than reading more.
+	maxDiscardedBody = 64 << 10
+	discardTimeout   = 250 * time.Millisecond
+	// maxInterimHeads bounds the interim (1xx) heads before an answer. All heads of a call up to the
+	// first final one share the allowance of maxHeaderBytes.
+	maxInterimHeads = 8
 	// maxStaleAnswers bounds the answers to other requests that are skipped.
 	maxStaleAnswers = 2
 	// readChunkSize is the buffer size in bytes for reading a long answer or a stream.
@@ -40,6 +46,8 @@
 	sink    func(relay.CallEvent)
 	metrics *metric.Set
 	host    *kernel.Host
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes int
 	// idleConn is the connection offered for reuse, or nil. conn is the one that the call uses.
 	idleConn  *conn
 	conn      *conn
@@ -189,21 +197,28 @@
 	}
 }
 
+// readHead reads the head of the next final answer and skips interim ones.
+func (c *call) readHead() (*http.Response, error) {
+	c.conn.limit.remaining = maxHeaderBytes
+	defer func() { c.conn.limit.remaining = noReadLimit }()
+	for range maxInterimHeads + 1 {
+		resp, err := http.ReadResponse(c.conn.reader, &http.Request{Method: c.out.Call.Method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, &fault.MalformedAnswer{Reason: "too many interim heads"}
+}
+
 // readAnswer reads answers until one belongs to the request, and handles that one.
 func (c *call) readAnswer(ctx context.Context) time.Duration {
 	for stale := 0; ; stale++ {
-		c.conn.limit.remaining = maxHeaderBytes
 		// Body.Close would read the unread part of the body. The connection is closed instead.
-		resp, err := http.ReadResponse(c.conn.reader, &http.Request{Method: c.out.Call.Method}) //nolint:bodyclose // see above
-		c.conn.limit.remaining = noReadLimit
+		resp, err := c.readHead() //nolint:bodyclose // see above
 		if err != nil {
 			c.sendFinal(ctx, relay.CallBroken, err)
 			return 0
 		}
-		if resp.StatusCode < http.StatusOK {
-			stale--
-			continue
-		}
 		note := c.dialect.ReadAnswer(resp.StatusCode, resp.Header.Get)
 		switch {
 		case note.Attempt == c.out.Attempt, note.Attempt == "" && note.NotRun && c.conn.answersRead == 0 && stale == 0:
@@ -213,25 +228,41 @@
 			return 0
 		}
 		// An answer to an earlier request arrived late or twice; the answer to this one may follow.
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBody)); err != nil || resp.ContentLength < 0 && resp.TransferEncoding == nil {
+		if err := c.discardBody(resp); err != nil || resp.ContentLength < 0 && resp.TransferEncoding == nil {
 			c.sendFinal(ctx, relay.CallBroken, &fault.MalformedAnswer{Reason: "it belongs to another attempt"})
 			return 0
 		}
 	}
 }
 
+// discardBody reads an unneeded body to its end. It returns an error if the end is too far away in
+// bytes or time; the connection must then be closed.
+func (c *call) discardBody(resp *http.Response) error {
+	if err := c.conn.tcp.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBody+1))
+	if err != nil {
+		return err
+	}
+	if n > maxDiscardedBody {
+		return &fault.MalformedAnswer{Reason: "its body is too long to be discarded"}
+	}
+	return c.conn.tcp.SetReadDeadline(time.Time{})
+}
+
 // handleAnswer reads the rest of the answer to this request. It returns how long the connection
 // may stay idle.
 func (c *call) handleAnswer(ctx context.Context, resp *http.Response, note port.AnswerMetadata) time.Duration {
 	switch {
 	case note.NotRun:
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBody))
 		kind := relay.CallFull
 		if note.Absent {
 			kind = relay.CallAbsent
 		}
+		// The head decides. The retry does not wait for a body that nobody needs.
 		c.sendFinal(ctx, kind, &fault.ServerRefusal{Status: resp.StatusCode})
-		return c.idleTimeoutAfter(resp, err)
+		return c.idleTimeoutAfter(resp, c.discardBody(resp))
 	case note.ClaimsNotRun:
 		c.sendFinal(ctx, relay.CallBroken, &fault.MalformedAnswer{Reason: "it promises without proof that the request was not run"})
 		return 0
@@ -290,7 +321,7 @@
 
 // readStream forwards complete events as they arrive.
 func (c *call) readStream(ctx context.Context, resp *http.Response) error {
-	var events httpmsg.EventSplitter
+	events := httpmsg.NewEventSplitter(c.maxEventBytes)
 	if c.out.Resume {
 		events.ResumeAfter(c.out.LastEvent)
 		c.lastEventID = c.out.LastEvent
@@ -298,7 +329,7 @@
 	buf := make([]byte, readChunkSize)
 	for {
 		n, err := resp.Body.Read(buf)
-		data, count, orderErr := events.Feed(buf[:n])
+		data, count, feedErr := events.Feed(buf[:n])
 		if count > 0 {
 			if c.firstEventAt.IsZero() {
 				c.beginAnswer(ctx, answerHeader(resp))
@@ -308,8 +339,8 @@
 			c.forward(ctx, port.RoutedEvent{Kind: port.RoutedData, Data: data})
 		}
 		switch {
-		case orderErr != nil:
-			return c.finishAnswer(ctx, orderErr)
+		case feedErr != nil:
+			return c.finishAnswer(ctx, feedErr)
 		case err == io.EOF && events.PendingBytes() > 0:
 			return c.finishAnswer(ctx, io.ErrUnexpectedEOF)
 		case err == io.EOF && c.firstEventAt.IsZero():
--- a/internal/service/httpbackend/call_test.go
+++ b/internal/service/httpbackend/call_test.go
@@ -27,7 +27,10 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-const waitLimit = 20 * time.Second
+const (
+	waitLimit     = 20 * time.Second
+	maxEventBytes = 16 << 10
+)
 
 // dialect is a minimal port.Dialect with the header names that the scripted servers use.
 type dialect struct{}
@@ -105,7 +108,7 @@
 // start runs the service in a kernel of its own.
 func start(t *testing.T) *backend {
 	t.Helper()
-	b := &backend{Service: httpbackend.New(metric.NewSet()), events: make(chan relay.CallEvent, 100)}
+	b := &backend{Service: httpbackend.New(metric.NewSet(), httpbackend.Options{MaxEventBytes: maxEventBytes}), events: make(chan relay.CallEvent, 100)}
 	b.AttachCalls(func(e relay.CallEvent) { b.events <- e })
 	k := kernel.New(func(err error) { t.Error(err) })
 	for _, s := range []kernel.Service{dialect{}, b.Service} {
--- a/internal/service/httpbackend/service.go
+++ b/internal/service/httpbackend/service.go
@@ -44,8 +44,16 @@
 	send int
 }
 
+// Options are the settings of the service.
+type Options struct {
+	// MaxEventBytes bounds one event of a stream. The largest sound event holds a few tokens, well
+	// below 1 KiB.
+	MaxEventBytes int
+}
+
 // Service implements port.HTTPBackend. It runs the calls and keeps the idle connections.
 type Service struct {
+	options Options
 	metrics *metric.Set
 	dialect port.Dialect
 	sink    func(relay.CallEvent)
@@ -58,9 +66,9 @@
 }
 
 // New returns the service.
-func New(m *metric.Set) *Service {
+func New(m *metric.Set, o Options) *Service {
 	return &Service{
-		metrics: m, ring: ring.New[message]("backend.http", ringCapacity, ring.Block),
+		options: o, metrics: m, ring: ring.New[message]("backend.http", ringCapacity, ring.Block),
 		calls: make(map[callKey]context.CancelFunc), idle: make(map[model.BackendServerID][]*conn),
 	}
 }
@@ -130,7 +138,7 @@
 	s.calls[key] = stop
 	c := &call{
 		out: out, dialect: s.dialect, sink: s.sink, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
-		startedAt: now, host: s.host,
+		startedAt: now, host: s.host, maxEventBytes: s.options.MaxEventBytes,
 	}
 	s.host.Go("backend.http.call", func(host context.Context, _ *kernel.Duty) {
 		defer stop()
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -21,9 +21,9 @@
 
 const (
 	ringCapacity = 8192
-	// maxOpenRequests bounds the open requests of this instance. Each has at most four messages in
+	// MaxOpenRequests bounds the open requests of this instance. Each has at most four messages in
 	// a ring at a time, so the rings between the duties never fill up.
-	maxOpenRequests = 1500
+	MaxOpenRequests = 1500
 	// tickInterval bounds how late a request gets its final answer after its time has run out.
 	tickInterval = 20 * time.Millisecond
 	// idleTickInterval is the tick interval while no request is open or held.
@@ -209,7 +209,7 @@
 	switch {
 	case s.closing:
 		return relay.Request{}, &fault.InstanceClosing{}
-	case s.machine.OpenRequests() >= maxOpenRequests:
+	case s.machine.OpenRequests() >= MaxOpenRequests:
 		return relay.Request{}, &fault.NotServed{Reason: "too many requests are open at this instance", Wait: time.Second}
 	}
 	return s.admission.Admit(now, &relay.Arrival{
