Check every field of the records of backend servers, from servers and from instances

An entry at an address in use with a start time in the future marked the sound server as gone and held the address; one with a sound server's id and a huge sequence muted its later announcements; a removal with an unreadable body removed the server of that id. Change: registry.CheckRecord bounds each field (start time against the clock with a minute's tolerance, because the time of day may jump by seconds), Registry.Check also the step of the sequence; the adapter and the registry duty use them for announcements, removals and the records of other instances. Refused ones are counted, and logged at most 10 times a minute. Leaving counts even if it arrives late.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -97,7 +97,12 @@
 func (r *Registry) Merge(now time.Time, s model.BackendServer) bool {
 	e := r.entries[s.ID]
 	if e != nil && !newer(&s, &e.record) {
-		return false
+		if s.State != model.Leaving || e.record.State >= model.Leaving || e.record.Incarnation != s.Incarnation {
+			return false
+		}
+		// Leaving is final, so it counts even if it arrives late.
+		e.record.State = model.Leaving
+		return true
 	}
 	if s.State != model.Gone && !r.claimAddress(&s) {
 		return false
@@ -179,11 +184,13 @@
 	return r.entries[id].record, true
 }
 
-// Heard records that another instance has received an announcement of a server. It returns the record
-// and sets revived if the server was suspect and is alive again.
+// Heard records that another instance has received an announcement of a server. It ignores a sequence that
+// is old or not plausible. It returns the record and sets revived if the server was suspect and is alive
+// again.
 func (r *Registry) Heard(now time.Time, id model.BackendServerID, incarnation model.Incarnation, sequence uint64) (record model.BackendServer, revived bool) {
 	e := r.entries[id]
-	if e == nil || e.record.Incarnation != incarnation || e.record.State == model.Gone || sequence < e.record.Sequence {
+	if e == nil || e.record.Incarnation != incarnation || e.record.State == model.Gone || sequence < e.record.Sequence ||
+		sequence > min(e.record.Sequence+maxSequenceStep, maxSequence) {
 		return model.BackendServer{}, false
 	}
 	e.lastHeard, e.record.Sequence = now, sequence
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -50,5 +50,7 @@
 	PeerMessageLost = define(4106, slog.LevelWarn, "peer.message_lost",
 		"A message to another instance could not be queued.", "instance", "service", "error")
 	AnnouncementRefused = define(4107, slog.LevelWarn, "announcement.refused",
-		"An announcement of a backend server could not be read; at most 10 a minute.", "backend_server", "error", "left_out")
+		"An announcement of a backend server was invalid and changed nothing; at most 10 a minute.", "backend_server", "error", "left_out")
+	RecordRefused = define(4108, slog.LevelWarn, "record.refused",
+		"A record of a backend server from another instance was invalid and changed nothing; at most 10 a minute.", "instance", "backend_server", "error", "left_out")
 )
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -153,3 +154,20 @@
 	Prefix      uint64
 	Tokens      int
 }
+
+// AddressFault returns why no connection can be opened to an address, or "" for an IP address with a port
+// from 1 to 65535 in canonical form.
+func AddressFault(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		return "is no IP address with a port from 1 to 65535"
+	case a.Port() == 0:
+		return "has port 0"
+	case a.Addr().Zone() != "" || a.Addr().IsUnspecified() || a.Addr().IsMulticast():
+		return "is not the address of one host"
+	case a.String() != address:
+		return "is not in canonical form"
+	}
+	return ""
+}
--- a/internal/service/registry/service.go
+++ b/internal/service/registry/service.go
@@ -9,6 +9,7 @@
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/kernel"
+	"briaryard/internal/metric"
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/ring"
@@ -46,11 +47,13 @@
 
 // Service holds the records of the backend servers.
 type Service struct {
-	log   *event.Log
-	core  bool
-	ring  *ring.Ring[message]
-	peers port.Peers
-	sinks []func([]model.BackendServer)
+	log     *event.Log
+	refused *event.RateLimited
+	metrics *metric.Set
+	core    bool
+	ring    *ring.Ring[message]
+	peers   port.Peers
+	sinks   []func([]model.BackendServer)
 
 	// The fields below belong to the registry duty.
 	startedAt     time.Time
@@ -62,9 +65,9 @@
 }
 
 // New returns the service. core states whether this is a core instance, which accepts announcements.
-func New(log *event.Log, core bool) *Service {
+func New(log *event.Log, m *metric.Set, core bool) *Service {
 	return &Service{
-		log: log, core: core, ring: ring.New[message]("registry", ringCapacity, ring.Refuse),
+		log: log, refused: log.RateLimit(event.RecordRefused), metrics: m, core: core, ring: ring.New[message]("registry", ringCapacity, ring.Refuse),
 		records: registry.New(core), connected: make(map[model.InstanceID]bool),
 		heardServers: make(map[model.BackendServerID]port.AnnouncementRef),
 	}
@@ -140,9 +143,13 @@
 	}
 }
 
-// handleAnnounce applies an announcement and publishes a changed record before it answers the
+// handleAnnounce applies a valid announcement and publishes a changed record before it answers the
 // server.
 func (s *Service) handleAnnounce(now time.Time, m announceRequest) {
+	if err := s.records.Check(now, &m.server); err != nil {
+		m.reply(err)
+		return
+	}
 	record, changed := s.records.Announce(now, m.server)
 	s.heardServers[m.server.ID] = port.AnnouncementRef{ID: m.server.ID, Incarnation: m.server.Incarnation, Sequence: m.server.Sequence}
 	if changed {
@@ -164,6 +171,10 @@
 // handleDepart removes a server and answers the request. The removal of an unknown server without an
 // incarnation is refused during warmUpDuration.
 func (s *Service) handleDepart(now time.Time, m departRequest) {
+	if err := s.records.Check(now, &model.BackendServer{ID: m.id, Incarnation: m.incarnation, State: model.Gone}); err != nil {
+		m.reply(err)
+		return
+	}
 	record, found := s.records.MarkGone(now, m.id, m.incarnation)
 	switch {
 	case found:
@@ -175,10 +186,15 @@
 	m.reply(nil)
 }
 
-// handleRecords merges records from another instance and publishes those that have changed.
+// handleRecords merges valid records from another instance and publishes those that have changed.
 func (s *Service) handleRecords(now time.Time, from model.InstanceID, records []model.BackendServer) {
 	var changed []model.BackendServer
 	for _, b := range records {
+		if err := s.records.Check(now, &b); err != nil {
+			s.metrics.Counter(metric.RecordsRefused, "instance").Inc(1)
+			s.refused.Emit(now, from, b.ID, err.Error())
+			continue
+		}
 		if s.records.Merge(now, b) {
 			record, _ := s.records.Get(b.ID)
 			changed = append(changed, record)
--- a/internal/service/registry/service_test.go
+++ b/internal/service/registry/service_test.go
@@ -10,6 +10,7 @@
 
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
+	"briaryard/internal/metric"
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 )
@@ -47,13 +48,13 @@
 
 var start = time.Now()
 
-func newCore(t *testing.T, connected ...model.InstanceID) (*Service, *fakePeers) {
+func newCore(t testing.TB, connected ...model.InstanceID) (*Service, *fakePeers) {
 	t.Helper()
 	log, err := event.NewStream(io.Discard, "info")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, n := New(log, true), &fakePeers{}
+	s, n := New(log, metric.NewSet(), true), &fakePeers{}
 	s.peers, s.startedAt = n, time.Now()
 	for _, id := range connected {
 		s.handle(start, port.PeerStatus{Instance: model.Instance{ID: id}, State: port.PeerReset})
@@ -62,7 +63,7 @@
 }
 
 func server(sequence uint64, state model.MemberState) model.BackendServer {
-	return model.BackendServer{ID: "s", Incarnation: 5, Sequence: sequence, State: state, Address: "10.0.0.1:80", Pools: []model.PoolID{"llm"}}
+	return model.BackendServer{ID: "s", Incarnation: 5, Sequence: sequence, State: state, Address: "10.0.0.1:80", Domain: "z1", Slots: 4, Pools: []model.PoolID{"llm"}}
 }
 
 // Guards against an acknowledgement of draining before the record has been sent to all instances. An
