Keep the fields of a record of incarnation 0 that ends an unknown server

Cause: Merge took a new entry's empty record for the same incarnation when that was 0, and dropped the id. Change: only a known record is kept.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -107,11 +107,12 @@
 	if s.State != model.Gone && !r.claimAddress(&s) {
 		return false
 	}
-	if e == nil {
+	known := e != nil
+	if !known {
 		e = &entry{lastHeard: now}
 		r.entries[s.ID] = e
 	}
-	if e.record.Incarnation == s.Incarnation {
+	if known && e.record.Incarnation == s.Incarnation {
 		if e.record.State == model.Leaving || e.record.State == model.Gone {
 			s.State = max(s.State, e.record.State)
 		}
