--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -172,7 +172,9 @@
 		}),
 		asService(func(l *event.Log) *topology.Service { return topology.New(l, s.Contacts) }),
 		asService(routes.New),
-		asService(func(l *event.Log, m *metric.Set) *registry.Service { return registry.New(l, m, s.Role == CoreRole) }),
+		asService(func(l *event.Log, m *metric.Set) *registry.Service {
+			return registry.New(l, m, registry.Options{Core: s.Role == CoreRole, DetectsSilence: s.Member()})
+		}),
 		asService(func(l *event.Log) *roster.Service { return roster.New(l, s.Role == CoreRole) }),
 	)
 }
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -34,6 +34,8 @@
 		"The voter replaced its log with a snapshot.", "index", "bytes", "took")
 	ControlReopened = define(3018, slog.LevelInfo, "control.reopened",
 		"A voter whose log had failed reopened its data folder and takes part in the control group again.", "folder", "last_index")
+	ControlTooFewVoters = define(3019, slog.LevelError, "control.too_few_voters",
+		"The control group has had fewer voters than the losses that it is to bear need; repeated every minute.", "voters", "needed", "learners")
 	ControlEntryUnreadable = define(3017, slog.LevelError, "control.entry_unreadable",
 		"A committed entry or snapshot cannot be read by this version of the program.", "index", "error")
 )
--- a/internal/service/control/duty.go
+++ b/internal/service/control/duty.go
@@ -33,9 +33,23 @@
 	}
 	s.expireAwaits(now)
 	s.requestReopen(now)
+	s.reportShortage(now)
 	s.processOutput(now)
 }
 
+// reportShortage reports, at the leader of an unattended group, that there are too few voters.
+func (s *Service) reportShortage(now time.Time) {
+	if s.settings.Unattended == nil || !s.settled() {
+		s.shortage = consensus.Shortage{}
+		return
+	}
+	members := s.node.Status().Members
+	voters, needed := len(members.Voters()), s.settings.Unattended.Voters
+	if s.shortage.Observe(now, voters, needed) {
+		s.log.Emit(event.ControlTooFewVoters, voters, needed, len(members.Members)-voters)
+	}
+}
+
 func (s *Service) handleMessage(now time.Time, m message) {
 	switch m := m.(type) {
 	case stopLeading:
--- a/internal/service/control/service.go
+++ b/internal/service/control/service.go
@@ -81,6 +81,7 @@
 	waitingReads []consensus.Read
 	// reopenAt is the time at which a failed voter opens its folder again; zero means never.
 	reopenAt time.Time
+	shortage consensus.Shortage
 }
 
 // New returns a voter that uses storage.OS and time.Now where settings leave Files or Now nil.
--- a/internal/service/registry/service.go
+++ b/internal/service/registry/service.go
@@ -74,11 +74,20 @@
 	lastPublish time.Time
 }
 
-// New returns the service. core states whether this is a core instance, which accepts announcements.
-func New(log *event.Log, m *metric.Set, core bool) *Service {
+// Options are the settings of the service.
+type Options struct {
+	// Core is set at a core instance, which accepts announcements and passes changed records on.
+	Core bool
+	// DetectsSilence is set at members of the control group. Only they are sent the announcements that
+	// other core instances receive, so only they can tell that a server is silent.
+	DetectsSilence bool
+}
+
+// New returns the service.
+func New(log *event.Log, m *metric.Set, o Options) *Service {
 	return &Service{
-		log: log, refused: log.RateLimit(event.RecordRefused), metrics: m, core: core, ring: ring.New[message]("registry", ringCapacity, ring.Refuse),
-		records: registry.New(core), connected: make(map[model.InstanceID]bool),
+		log: log, refused: log.RateLimit(event.RecordRefused), metrics: m, core: o.Core, ring: ring.New[message]("registry", ringCapacity, ring.Refuse),
+		records: registry.New(o.DetectsSilence), connected: make(map[model.InstanceID]bool),
 		heardServers: make(map[model.BackendServerID]port.AnnouncementRef), unpublished: make(map[model.BackendServerID]model.InstanceID),
 	}
 }
--- a/internal/service/registry/service_test.go
+++ b/internal/service/registry/service_test.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, n := New(log, metric.NewSet(), true), &fakePeers{}
+	s, n := New(log, metric.NewSet(), Options{Core: true, DetectsSilence: true}), &fakePeers{}
 	s.peers, s.startedAt = n, time.Now()
 	for _, id := range connected {
 		s.handle(start, port.PeerStatus{Instance: model.Instance{ID: id}, State: port.PeerReset})
@@ -212,3 +212,33 @@
 		t.Errorf("one change took %d messages, want %d", got, instances)
 	}
 }
+
+// Guards against sound servers that count as silent because a core instance that is no member of the
+// control group, and is not sent the announcements of the others, has not heard them itself.
+func TestOnlyMembersJudgeSilence(t *testing.T) {
+	log, err := event.NewStream(io.Discard, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, n := New(log, metric.NewSet(), Options{Core: true}), &fakePeers{}
+	s.peers, s.startedAt = n, start
+	s.handle(start, port.PeerStatus{Instance: model.Instance{ID: "core2"}, State: port.PeerReset})
+	now := start
+	for i := range 3 {
+		b := server(1, model.Alive)
+		b.ID, b.Address = model.BackendServerID(fmt.Sprint("s", i)), fmt.Sprintf("10.0.1.%d:80", i+1)
+		s.handle(now, port.PeerMessage{From: "core2", Body: port.ServersMessage{Servers: []model.BackendServer{b}}})
+	}
+	for sequence := uint64(2); now.Sub(start) < 30*time.Second; sequence++ {
+		now = now.Add(publishInterval)
+		for i := range 2 {
+			b := server(sequence, model.Alive)
+			b.ID, b.Address = model.BackendServerID(fmt.Sprint("s", i)), fmt.Sprintf("10.0.1.%d:80", i+1)
+			s.handle(now, announceRequest{b, func(error) {}})
+		}
+		s.onTick(now)
+	}
+	if b, ok := s.records.Get("s2"); !ok || b.State != model.Alive {
+		t.Errorf("the server that announces itself elsewhere is %v (known: %v), want alive", b.State, ok)
+	}
+}
