--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -201,7 +201,7 @@
 		return fx.Options()
 	}
 	return fx.Provide(
-		asService(func(l *event.Log) *allocate.Service { return allocate.New(l, s.Tolerance) }),
+		asService(func(l *event.Log) *allocate.Service { return allocate.New(l, s.ID, s.Tolerance) }),
 		asService(func(m *metric.Set) *httpbackend.Service {
 			return httpbackend.New(m, httpbackend.Options{MaxEventBytes: s.maxEventBytes()})
 		}),
--- a/internal/decide/allocate/machine.go
+++ b/internal/decide/allocate/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briaryard/internal/decide/allotment"
+	"briaryard/internal/decide/hold"
 	"briaryard/internal/decide/schedule"
 	"briaryard/internal/model"
 )
@@ -59,6 +60,13 @@
 	Report  schedule.Report
 }
 
+// SendNotice tells the dispatcher what a backend server has said about itself to this instance.
+type SendNotice struct {
+	To      model.InstanceID
+	Session uint64
+	Notice  model.ServerNotice
+}
+
 // Decided delivers a decision to the owner of the request.
 type Decided struct {
 	schedule.Decision
@@ -77,6 +85,7 @@
 func (Submit) effect()            {}
 func (Withdraw) effect()          {}
 func (SendReport) effect()        {}
+func (SendNotice) effect()        {}
 func (Decided) effect()           {}
 func (DispatcherChanged) effect() {}
 
@@ -101,14 +110,17 @@
 	granted    map[model.RequestID]schedule.Work
 	effects    []Effect
 	denials    denialCache
+	self       model.InstanceID
+	// bars holds what the backend servers have said about themselves to this instance.
+	bars *hold.Table
 }
 
-// New returns a machine without a dispatcher, which decides alone.
-func New(t allotment.Tolerance) *Machine {
+// New returns a machine of an instance without a dispatcher, which decides alone.
+func New(self model.InstanceID, t allotment.Tolerance) *Machine {
 	return &Machine{
 		local:   schedule.New(schedule.Options{Tolerance: t, Share: 1}),
 		pending: make(map[model.RequestID]*pendingRequest), granted: make(map[model.RequestID]schedule.Work),
-		denials: newDenialCache(),
+		denials: newDenialCache(), self: self, bars: hold.NewTable(),
 	}
 }
 
@@ -192,6 +204,9 @@
 		works = append(works, w)
 	}
 	m.emit(GrantedWork{To: from, Session: session, Works: works})
+	for _, n := range m.bars.Notices(now) {
+		m.emit(SendNotice{To: from, Session: session, Notice: n})
+	}
 	for id, p := range m.pending {
 		m.local.Withdraw(now, id)
 		m.submit(now, p)
@@ -251,6 +266,19 @@
 	}
 }
 
+// HandleNotice takes what a backend server has said about itself in an answer to this instance. The local
+// scheduler and the dispatcher then grant that server to this instance no more, or for the time that the
+// server asked for.
+func (m *Machine) HandleNotice(now time.Time, n model.ServerNotice) {
+	if !m.bars.Apply(now, n) {
+		return
+	}
+	m.local.HandleNotice(now, m.self, n)
+	if m.joined {
+		m.emit(SendNotice{To: m.dispatcher, Session: m.session, Notice: n})
+	}
+}
+
 // HandleDecision handles a decision of the dispatcher. A grant for a request that no longer waits
 // there is returned as unused.
 func (m *Machine) HandleDecision(now time.Time, from model.InstanceID, session uint64, d schedule.Decision) {
--- a/internal/decide/allocate/machine_test.go
+++ b/internal/decide/allocate/machine_test.go
@@ -17,7 +17,7 @@
 var start = time.Unix(1000, 0)
 
 func newMachine() *allocate.Machine {
-	m := allocate.New(allotment.Tolerance{})
+	m := allocate.New("i", allotment.Tolerance{})
 	m.SetDocument(start, &model.RouteConfig{Services: map[model.PoolID]model.RoutedService{"s": {ID: "s"}}})
 	m.SetServers(start, []model.BackendServer{{ID: "b", Incarnation: 1, State: model.Alive, Pools: []model.PoolID{"s"}, Slots: 100}})
 	return m
@@ -216,7 +216,7 @@
 	var machines []*allocate.Machine
 	all := instanceIDs(instances)
 	for _, id := range all {
-		m := allocate.New(tolerance)
+		m := allocate.New(id, tolerance)
 		m.SetInstances(start, id, all)
 		m.SetDocument(start, document)
 		m.SetServers(start, servers)
@@ -299,7 +299,7 @@
 	}
 	given := make(map[model.BackendServerID]int)
 	for _, id := range instanceIDs(instances) {
-		m := allocate.New(allotment.Tolerance{})
+		m := allocate.New("i", allotment.Tolerance{})
 		m.SetInstances(start, id, instanceIDs(instances))
 		m.SetDocument(start, document)
 		m.SetServers(start, servers)
@@ -325,7 +325,7 @@
 // no others.
 func TestADenialStandsForLikeRequests(t *testing.T) {
 	g := NewWithT(t)
-	m := allocate.New(allotment.Tolerance{})
+	m := allocate.New("i", allotment.Tolerance{})
 	m.SetDispatcher(start, "d")
 	m.Joined(start, "d", effectsOf[allocate.Join](m.Take())[0].Session)
 	m.Take()
--- /dev/null
+++ b/internal/decide/hold/table_test.go
@@ -0,0 +1,58 @@
+package hold_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"briaryard/internal/decide/hold"
+	"briaryard/internal/model"
+)
+
+var start = time.Unix(1000, 0)
+
+func barred(t *hold.Table, at time.Duration, incarnation model.Incarnation) bool {
+	_, ok := t.Lookup(start.Add(at), "s", incarnation)
+	return ok
+}
+
+// Guards against requests to a server that has said that it wants none for a while.
+func TestAHoldLastsAsLongAsTheServerAskedFor(t *testing.T) {
+	g := NewWithT(t)
+	table := hold.NewTable()
+	g.Expect(table.Apply(start, model.ServerNotice{Server: "s", Incarnation: 1, HoldFor: 2 * time.Second})).To(BeTrue())
+	g.Expect(barred(table, 1999*time.Millisecond, 1)).To(BeTrue())
+	g.Expect(barred(table, 2*time.Second, 1)).To(BeFalse())
+	g.Expect(table.Apply(start.Add(time.Second), model.ServerNotice{Server: "s", Incarnation: 1, HoldFor: 100 * time.Millisecond})).To(BeFalse(), "a shorter one does not end the first")
+	g.Expect(barred(table, 1500*time.Millisecond, 1)).To(BeTrue())
+}
+
+// Guards against a server that is used again after it said that it leaves, and against a new incarnation,
+// or an earlier one's late word, that changes the other.
+func TestLeavingEndsWithTheIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	table := hold.NewTable()
+	table.Apply(start, model.ServerNotice{Server: "s", Incarnation: 5, Leaving: true})
+	g.Expect(table.Apply(start, model.ServerNotice{Server: "s", Incarnation: 5, HoldFor: time.Second})).To(BeFalse())
+	g.Expect(barred(table, time.Hour, 5)).To(BeTrue())
+	g.Expect(barred(table, 0, 6)).To(BeFalse(), "a later incarnation")
+	table.Apply(start, model.ServerNotice{Server: "s", Incarnation: 6, HoldFor: time.Second})
+	g.Expect(table.Apply(start, model.ServerNotice{Server: "s", Incarnation: 5, Leaving: true})).To(BeFalse(), "a late word")
+	g.Expect(barred(table, 0, 6)).To(BeTrue())
+	g.Expect(barred(table, 2*time.Second, 6)).To(BeFalse())
+}
+
+// Guards against a table that grows with every server that there ever was.
+func TestTheTableIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	table := hold.NewTable()
+	for i := range 6000 {
+		n := model.ServerNotice{Server: model.BackendServerID(fmt.Sprint(i)), Incarnation: 1, Leaving: i%2 == 0, HoldFor: time.Second}
+		table.Apply(start.Add(time.Duration(i)*time.Millisecond), n)
+	}
+	notices := table.Notices(start.Add(6 * time.Second))
+	g.Expect(len(notices)).To(BeNumerically("<=", 4096))
+	g.Expect(len(notices)).To(BeNumerically(">=", 3000))
+}
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -185,6 +185,17 @@
 	return r.entries[id].record, true
 }
 
+// MarkLeaving records that an incarnation of a server has said in an answer that it leaves. It returns the
+// record and reports whether it has changed.
+func (r *Registry) MarkLeaving(id model.BackendServerID, incarnation model.Incarnation) (model.BackendServer, bool) {
+	e := r.entries[id]
+	if e == nil || e.record.Incarnation != incarnation || e.record.State >= model.Leaving {
+		return model.BackendServer{}, false
+	}
+	e.record.State = model.Leaving
+	return e.record, true
+}
+
 // Heard records that another instance has received an announcement of a server. It ignores a sequence that
 // is old or not plausible. It returns the record and sets revived if the server was suspect and is alive
 // again.
--- a/internal/decide/relay/machine.go
+++ b/internal/decide/relay/machine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"briaryard/internal/decide/hold"
 	"briaryard/internal/decide/retry"
 	"briaryard/internal/decide/schedule"
 	"briaryard/internal/fault"
@@ -14,6 +15,9 @@
 	// maxCalls bounds the calls to backend servers for one request. Calls that a server refuses
 	// without running the request do not count towards the route's MaxServers.
 	maxCalls = 4
+	// maxReturns bounds the grants of a request that are returned because their servers are barred. The
+	// dispatcher knows of a bar before it decides again, so that more show that it does not.
+	maxReturns = 4
 	// minCallTime is the time before a request's deadline in which no call is started any more,
 	// because the shortest answer takes this long.
 	minCallTime = 15 * time.Millisecond
@@ -37,8 +41,11 @@
 	phase phase
 	// calls counts the calls to backend servers, possibleRuns those that may have run.
 	calls, possibleRuns int
-	triedServers        []model.BackendServerID
-	server              model.BackendServerID
+	// admitted is set once the team's allotment was charged, returns counts the returned grants.
+	admitted     bool
+	returns      int
+	triedServers []model.BackendServerID
+	server       model.BackendServerID
 	// lastEvent is the id of the last event that was sent to the caller, after which a stream can
 	// be resumed.
 	lastEvent   string
@@ -57,12 +64,14 @@
 type Machine struct {
 	requests map[model.RequestID]*requestState
 	budget   *retry.Budget
-	effects  []Effect
+	// bars holds what the backend servers have said about themselves to this instance.
+	bars    *hold.Table
+	effects []Effect
 }
 
 // New returns a machine without requests. The budget limits retries.
 func New(budget *retry.Budget) *Machine {
-	return &Machine{requests: make(map[model.RequestID]*requestState), budget: budget}
+	return &Machine{requests: make(map[model.RequestID]*requestState), budget: budget, bars: hold.NewTable()}
 }
 
 // TakeEffects returns the effects since the last call.
@@ -96,7 +105,7 @@
 		ID: s.ID, Service: s.Service, Team: s.Team, Rank: s.Route.Rank,
 		Prompt: s.PromptTokens, Output: s.OutputTokens, Expected: s.ExpectedTokens, Model: s.Model, Domain: s.Domain,
 		Arrived: s.Arrived, StartTarget: s.Arrived.Add(s.Route.Objective), StartDeadline: s.Deadline.Add(-minCallTime), Deadline: s.Deadline,
-		Tried: s.triedServers, Admitted: s.calls > 0,
+		Tried: s.triedServers, Admitted: s.admitted,
 	}
 	if p := s.Route.Patience; p > 0 && !s.answerBegan {
 		if latest := s.Arrived.Add(p - minCallTime); latest.Before(w.StartDeadline) {
@@ -130,6 +139,11 @@
 		m.endWithoutRetry(now, s, &fault.NotServed{Service: s.Service, Reason: "no time is left", Wait: minCallTime})
 		return
 	}
+	s.admitted = true
+	if bar, ok := m.bars.Lookup(now, d.Server.ID, d.Server.Incarnation); ok {
+		m.returnGrant(now, s, &d.Server, bar)
+		return
+	}
 	s.phase, s.server = calling, d.Server.ID
 	s.calls++
 	s.possibleRuns++
@@ -140,6 +154,27 @@
 	})
 }
 
+// HandleNotice takes what a server has said about itself in an answer to this instance.
+func (m *Machine) HandleNotice(now time.Time, n model.ServerNotice) {
+	if m.bars.Apply(now, n) || n.Invalid != "" {
+		m.emit(PassOn{n})
+	}
+}
+
+// returnGrant returns a grant of a server that wants no request, and asks for another server.
+func (m *Machine) returnGrant(now time.Time, s *requestState, server *model.BackendServer, bar hold.Bar) {
+	wait := max(bar.Until.Sub(now), 0)
+	m.emit(Returned{ID: s.ID, Server: server.ID, Leaving: bar.Leaving, For: wait})
+	s.returns++
+	again := s.returns < maxReturns
+	m.emit(Report{schedule.Report{ID: s.ID, Server: server.ID, Outcome: schedule.Unused, Refund: !again && s.possibleRuns == 0}})
+	if again {
+		m.requestServer(now, s)
+		return
+	}
+	m.endWithoutRetry(now, s, &fault.NotServed{Service: s.Service, Reason: "its servers want no request now", Wait: max(wait, minCallTime)})
+}
+
 // denialFault returns the fault for a denied request.
 func denialFault(s *requestState, d schedule.Decision) fault.Fault {
 	if d.Reason == schedule.DeniedAllotment {
@@ -201,7 +236,7 @@
 	case CallEnded:
 		m.report(s, e, schedule.Finished, false)
 		m.end(now, s, "answered")
-	case CallUnsent, CallFull, CallAbsent:
+	case CallUnsent, CallFull, CallAbsent, CallReturned:
 		m.handleNotRun(now, s, e)
 	case CallBroken:
 		m.handleInterrupted(now, s, e)
@@ -252,6 +287,8 @@
 		return schedule.Full
 	case CallAbsent:
 		return schedule.Absent
+	case CallReturned:
+		return schedule.Unused
 	case CallUnsent, CallBroken:
 	}
 	return schedule.Failed
@@ -270,7 +307,7 @@
 	s.possibleRuns--
 	s.lastError = e.Cause
 	// An unsent request has reached no server, so its retry is not charged to the budget.
-	mayRetry := s.calls < maxCalls && now.Before(s.Deadline.Add(-minCallTime)) && (e.Kind == CallUnsent || m.budget.TakeRetry(now, s.Service))
+	mayRetry := s.calls < maxCalls && now.Before(s.Deadline.Add(-minCallTime)) && (e.Kind == CallUnsent || e.Kind == CallReturned || m.budget.TakeRetry(now, s.Service))
 	m.report(s, e, outcomeOf(e.Kind), !mayRetry && s.possibleRuns == 0)
 	if mayRetry {
 		m.retry(now, s, e)
--- a/internal/decide/relay/types.go
+++ b/internal/decide/relay/types.go
@@ -44,13 +44,16 @@
 	// no capacity, or it is not the server that the call was meant for.
 	CallFull
 	CallAbsent
+	// CallReturned means that the call was not sent because its server has meanwhile said that it wants
+	// none.
+	CallReturned
 	// CallBroken means that the answer is missing or incomplete; the request may have run.
 	CallBroken
 )
 
 // String returns the kind's name.
 func (k CallKind) String() string {
-	return [...]string{"began", "answered", "ended", "unsent", "full", "absent", "broken"}[min(k, CallBroken)]
+	return [...]string{"began", "answered", "ended", "unsent", "full", "absent", "returned", "broken"}[min(k, CallBroken)]
 }
 
 // CallEvent reports the progress of a call.
@@ -146,6 +149,20 @@
 	Cause  error
 }
 
+// PassOn passes on what a backend server has said about itself.
+type PassOn struct{ model.ServerNotice }
+
+// Returned reports a grant that was returned because its server has said that it wants no request.
+type Returned struct {
+	ID      model.RequestID
+	Server  model.BackendServerID
+	Leaving bool
+	// For is how long the server wants no request, if it is not leaving.
+	For time.Duration
+}
+
+func (PassOn) effect()        {}
+func (Returned) effect()      {}
 func (RequestServer) effect() {}
 func (Withdraw) effect()      {}
 func (Report) effect()        {}
--- a/internal/decide/schedule/decide.go
+++ b/internal/decide/schedule/decide.go
@@ -226,7 +226,7 @@
 	// A request that the fastest server can start on time waits for a server that can.
 	onTimeOnly := v.engine != nil && !q.late && !now.Add(firstEventBase+time.Duration(q.Prompt)*v.currentStats(now).minPrefill).After(q.StartTarget)
 	for _, b := range c.servers {
-		if !b.hasRoom(&q.Request) || slices.Contains(q.Tried, b.record.ID) || !serves(&b.record, q.Model) {
+		if b.isHeldFor(now, q.ID.Instance) || !b.hasRoom(&q.Request) || slices.Contains(q.Tried, b.record.ID) || !serves(&b.record, q.Model) {
 			continue
 		}
 		firstEvent := b.estimateFirstEvent(&q.Request)
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -233,6 +233,11 @@
 	q.sizePenalty = r.sizePenalty(q.work)
 	q.setTimes()
 	s.expire(now, v)
+	if until := v.heldUntil(now, q); until.After(q.StartDeadline) {
+		s.refund(now, &w)
+		s.deny(now, v, &w, DeniedHeld, until.Sub(now))
+		return
+	}
 	if len(s.waiting) >= maxWaiting || !s.canStart(now, v, q) {
 		s.refund(now, &w)
 		s.deny(now, v, &w, DeniedQueue, jitter(w.ID, s.drainTime(now, v)))
--- a/internal/decide/schedule/server.go
+++ b/internal/decide/schedule/server.go
@@ -72,6 +72,11 @@
 	// its record at that time.
 	absentSequence uint64
 	absent         bool
+	// leaving is the incarnation of the server that has said in an answer that it leaves, and held the
+	// instances that it wants no request of, until a time, as said by the incarnation heldBy.
+	leaving model.Incarnation
+	held    map[model.InstanceID]time.Time
+	heldBy  model.Incarnation
 	// suspect is set while a call is overdue.
 	suspect bool
 	// slotLimit is the number of slots that this scheduler may use, if slotLimited.
@@ -102,7 +107,8 @@
 
 // usable reports whether the server may be granted requests at all.
 func (s *server) usable(now time.Time) bool {
-	return s.record.State == model.Alive && !s.absent && !now.Before(s.pausedUntil)
+	return s.record.State == model.Alive && !s.absent && !now.Before(s.pausedUntil) &&
+		(s.leaving == 0 || s.leaving != s.record.Incarnation)
 }
 
 // hasOverdueCall reports whether a call has had no first event for far longer than expected while the
--- a/internal/decide/schedule/types.go
+++ b/internal/decide/schedule/types.go
@@ -46,11 +46,14 @@
 	DeniedTime
 	// DeniedNoServer means that the service has no usable backend server.
 	DeniedNoServer
+	// DeniedHeld means that all usable backend servers want no request of the instance for longer than
+	// the request can wait.
+	DeniedHeld
 )
 
 // String returns the reason's name.
 func (r Reason) String() string {
-	return [...]string{"allotment", "queue", "time", "no server"}[min(r, DeniedNoServer)]
+	return [...]string{"allotment", "queue", "time", "no server", "servers hold"}[min(r, DeniedHeld)]
 }
 
 // Decision grants a request to a backend server or denies it.
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -19,6 +19,15 @@
 		"request", "attempt", "route", "team", "backend_server", "sends", "result", "first", "took", "prompt", "output", "expected", "events")
 	RoutedCut = define(1105, slog.LevelWarn, "routed.cut",
 		"An answer was aborted before it was complete.", "request", "attempt", "code", "detail")
+	RoutedReturned = define(1107, slog.LevelInfo, "routed.returned",
+		"An instance returned a grant unsent, because the backend server has said in an answer that it leaves or wants no request for a while.",
+		"request", "attempt", "backend_server", "leaving", "hold")
+	ServerSaid = define(1108, slog.LevelInfo, "server.said",
+		"A backend server said in an answer to this instance that it leaves, or for how long it wants no request from this instance.",
+		"backend_server", "incarnation", "leaving", "hold")
+	ServerHoldInvalid = define(1109, slog.LevelWarn, "server.hold_invalid",
+		"The time for which a backend server wants no request could not be read or is out of range; hold is used instead; at most 10 a minute.",
+		"backend_server", "text", "hold", "left_out")
 	LogDropped = define(1106, slog.LevelWarn, "log.dropped",
 		"Log lines were dropped because they could not be written as fast as they were produced.", "lines")
 	ScheduleGranted = define(2101, slog.LevelInfo, "schedule.granted",
--- a/internal/fault/routed.go
+++ b/internal/fault/routed.go
@@ -187,6 +187,20 @@
 	return fmt.Sprintf("the server answered %d and did not run the request", e.Status)
 }
 
+// ServerBarred reports a call that was not sent because its server has meanwhile said that it leaves, or
+// that it wants no request from this instance for a while.
+type ServerBarred struct {
+	Server  model.BackendServerID
+	Leaving bool
+}
+
+func (e *ServerBarred) Error() string {
+	if e.Leaving {
+		return fmt.Sprintf("backend server %q leaves", e.Server)
+	}
+	return fmt.Sprintf("backend server %q wants no request now", e.Server)
+}
+
 // CallCancelled reports a call to a backend server that this instance cancelled.
 type CallCancelled struct{ Reason string }
 
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -78,6 +78,21 @@
 // Usable reports whether the server may be given new work.
 func (s *BackendServer) Usable() bool { return s.State == Alive }
 
+// MaxServerHold bounds ServerNotice.HoldFor.
+const MaxServerHold = 5 * time.Minute
+
+// ServerNotice is what a backend server has said about itself in an answer.
+type ServerNotice struct {
+	Server      BackendServerID
+	Incarnation Incarnation
+	// Leaving is set if the server is about to leave and wants no new request.
+	Leaving bool
+	// HoldFor is how long the server wants no request from the instance that it answered, or zero.
+	HoldFor time.Duration
+	// Invalid is the text that HoldFor replaces because it could not be read or was out of range.
+	Invalid string
+}
+
 // Instance is the membership record of an instance of briaryard.
 type Instance struct {
 	ID          InstanceID
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -69,6 +69,9 @@
 	Announce(s model.BackendServer, reply func(error)) error
 	// Deregister handles a backend server's request to be removed; see registry.Registry.MarkGone.
 	Deregister(id model.BackendServerID, incarnation model.Incarnation, reply func(error)) error
+	// MarkLeaving records that an incarnation of a backend server has said in an answer that it leaves,
+	// and passes that on to the core instances.
+	MarkLeaving(id model.BackendServerID, incarnation model.Incarnation)
 	// SubscribeServers registers a receiver of all records, which is called when one has changed.
 	// It is called during Provision.
 	SubscribeServers(sink func([]model.BackendServer))
@@ -98,6 +101,8 @@
 	Withdraw(id model.RequestID)
 	// Report reports the outcome of granted work.
 	Report(r schedule.Report)
+	// Notify passes on what a backend server has said about itself to this instance.
+	Notify(n model.ServerNotice)
 	// AttachDecisions sets the receiver of decisions. It is called during Provision. The sink
 	// blocks while the receiver's ring is full.
 	AttachDecisions(sink func(Allocation))
@@ -192,9 +197,10 @@
 	OpenCall(o HTTPOutbound)
 	// CancelCall cancels a call. No further event follows.
 	CancelCall(id model.RequestID, send int)
-	// AttachCalls sets the receiver of call events. It is called during Provision. The sink blocks
-	// while the receiver's ring is full.
-	AttachCalls(sink func(relay.CallEvent))
+	// AttachCalls sets the receivers of call events and of notices. It is called during Provision. The
+	// sinks block while the receiver's ring is full. The notice of an answer precedes the call event
+	// and is passed on even if the call was cancelled.
+	AttachCalls(events func(relay.CallEvent), notices func(model.ServerNotice))
 }
 
 // AnswerMetadata holds the control information in the header of an answer.
@@ -207,6 +213,11 @@
 	Absent bool
 	// ClaimsNotRun is set if the status claims that the request has not run. Only NotRun proves it.
 	ClaimsNotRun bool
+	// Leaving is set if the server states that it leaves.
+	Leaving bool
+	// HoldFor is how long the server wants no request from this instance; see model.ServerNotice.
+	HoldFor        time.Duration
+	InvalidHoldFor string
 }
 
 // Dialect defines the header fields that a platform's backend servers use. It is implemented by the
@@ -255,6 +266,11 @@
 		Session uint64
 		Report  schedule.Report
 	}
+	// ServerNoticeMessage passes on what a backend server has said about itself to the sender.
+	ServerNoticeMessage struct {
+		Session uint64
+		Notice  model.ServerNotice
+	}
 	// JoinedMessage accepts a session.
 	JoinedMessage struct{ Session uint64 }
 	// DecisionMessage carries a scheduling decision.
--- a/internal/service/allocate/service.go
+++ b/internal/service/allocate/service.go
@@ -49,10 +49,10 @@
 	revision model.Revision
 }
 
-// New returns the service.
-func New(log *event.Log, t allotment.Tolerance) *Service {
+// New returns the service of the instance self.
+func New(log *event.Log, self model.InstanceID, t allotment.Tolerance) *Service {
 	return &Service{
-		log: log, ring: ring.New[message]("allocate", ringCapacity, ring.Block), machine: allocate.New(t),
+		log: log, ring: ring.New[message]("allocate", ringCapacity, ring.Block), machine: allocate.New(self, t),
 	}
 }
 
@@ -112,6 +112,9 @@
 // Withdraw implements port.Allocator.
 func (s *Service) Withdraw(id model.RequestID) { s.put(withdrawRequest{id}) }
 
+// Notify implements port.Allocator.
+func (s *Service) Notify(n model.ServerNotice) { s.put(n) }
+
 // Report implements port.Allocator.
 func (s *Service) Report(r schedule.Report) { s.put(r) }
 
@@ -123,6 +126,8 @@
 		s.machine.Withdraw(now, m.id)
 	case schedule.Report:
 		s.machine.Report(now, m)
+	case model.ServerNotice:
+		s.machine.HandleNotice(now, m)
 	case port.RouteView:
 		if m.Table.Revision() > s.revision {
 			s.revision = m.Table.Revision()
@@ -205,6 +210,8 @@
 		s.send(now, e.To, port.WithdrawSubmitMessage{Session: e.Session, ID: e.ID})
 	case allocate.SendReport:
 		s.send(now, e.To, port.OutcomeMessage{Session: e.Session, Report: e.Report})
+	case allocate.SendNotice:
+		s.send(now, e.To, port.ServerNoticeMessage{Session: e.Session, Notice: e.Notice})
 	case allocate.Decided:
 		s.logDecision(e)
 		s.sink(port.Allocation{Decision: e.Decision, LocalDecision: e.LocalDecision})
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"briaryard/internal/clock"
+	"briaryard/internal/decide/hold"
 	"briaryard/internal/decide/relay"
 	"briaryard/internal/fault"
 	"briaryard/internal/httpmsg"
@@ -44,6 +45,8 @@
 	out     port.HTTPOutbound
 	dialect port.Dialect
 	sink    func(relay.CallEvent)
+	notify  func(model.ServerNotice)
+	barred  func(*model.BackendServer) (hold.Bar, bool)
 	metrics *metric.Set
 	host    *kernel.Host
 	// maxEventBytes bounds one event of a stream.
@@ -73,7 +76,7 @@
 		return nil
 	}
 	c.conn.answersRead++
-	c.conn.idleUntil = time.Now().Add(idle)
+	c.conn.idleUntil = clock.Boot().Add(idle)
 	return c.conn
 }
 
@@ -106,7 +109,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Boot()
 	e.ID, e.Send, e.Events, e.LastEvent = c.out.ID, c.out.Send, c.eventCount, c.lastEventID
 	e.First = now.Sub(c.startedAt)
 	if !c.firstEventAt.IsZero() {
@@ -123,6 +126,10 @@
 		c.sendFinal(ctx, relay.CallUnsent, &fault.CallCancelled{Reason: "no time is left"})
 		return 0
 	}
+	if bar, ok := c.barred(&c.out.Server); ok {
+		c.sendFinal(ctx, relay.CallReturned, &fault.ServerBarred{Server: c.out.Server.ID, Leaving: bar.Leaving})
+		return 0
+	}
 	n, err := c.writeRequest(c.encodeHeader(left))
 	if err != nil && n == 0 {
 		c.sendFinal(ctx, relay.CallUnsent, err)
@@ -220,6 +227,7 @@
 			return 0
 		}
 		note := c.dialect.ReadAnswer(resp.StatusCode, resp.Header.Get)
+		c.passOnNotice(&note)
 		switch {
 		case note.Attempt == c.out.Attempt, note.Attempt == "" && note.NotRun && c.conn.answersRead == 0 && stale == 0:
 			return c.handleAnswer(ctx, resp, note)
@@ -235,6 +243,18 @@
 	}
 }
 
+// passOnNotice passes on what the server says about itself. The answer need not belong to this request,
+// and the call may have been cancelled: the server speaks for itself on its own connection.
+func (c *call) passOnNotice(note *port.AnswerMetadata) {
+	if !note.Leaving && note.HoldFor <= 0 {
+		return
+	}
+	c.notify(model.ServerNotice{
+		Server: c.out.Server.ID, Incarnation: c.out.Server.Incarnation,
+		Leaving: note.Leaving, HoldFor: note.HoldFor, Invalid: note.InvalidHoldFor,
+	})
+}
+
 // discardBody reads an unneeded body to its end. It returns an error if the end is too far away in
 // bytes or time; the connection must then be closed.
 func (c *call) discardBody(resp *http.Response) error {
@@ -300,7 +320,7 @@
 	answer := answerHeader(resp)
 	if len(body) <= maxBufferedBody {
 		answer.Body = body
-		c.firstEventAt = time.Now()
+		c.firstEventAt = clock.Boot()
 		c.eventCount = 1
 		c.sendEvent(ctx, relay.CallEvent{Kind: relay.CallAnswered, Answer: answer})
 		return nil
@@ -354,7 +374,7 @@
 // beginAnswer reports that the answer has begun. It forwards the header unless the call resumes a
 // stream.
 func (c *call) beginAnswer(ctx context.Context, header *model.HTTPAnswer) {
-	c.firstEventAt = time.Now()
+	c.firstEventAt = clock.Boot()
 	if !c.out.Resume {
 		c.forward(ctx, port.RoutedEvent{Kind: port.RoutedHead, Answer: header})
 	}
--- a/internal/service/httpbackend/call_test.go
+++ b/internal/service/httpbackend/call_test.go
@@ -46,10 +46,18 @@
 func (dialect) ReadAnswer(status int, header func(string) string) port.AnswerMetadata {
 	return port.AnswerMetadata{
 		Attempt: header("Attempt"), NotRun: header("Not-Run") != "", Absent: status == http.StatusMisdirectedRequest,
-		ClaimsNotRun: status == http.StatusServiceUnavailable,
+		ClaimsNotRun: status == http.StatusServiceUnavailable, Leaving: header("Leaving") != "", HoldFor: holdFor(header("Hold")),
 	}
 }
 
+func holdFor(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
 // scriptedServer is a backend server whose answers the test provides.
 type scriptedServer struct {
 	listener net.Listener
@@ -102,14 +110,16 @@
 type backend struct {
 	*httpbackend.Service
 	events chan relay.CallEvent
-	stop   func()
+	// notices holds what the servers have said about themselves.
+	notices chan model.ServerNotice
+	stop    func()
 }
 
 // start runs the service in a kernel of its own.
 func start(t *testing.T) *backend {
 	t.Helper()
-	b := &backend{Service: httpbackend.New(metric.NewSet(), httpbackend.Options{MaxEventBytes: maxEventBytes}), events: make(chan relay.CallEvent, 100)}
-	b.AttachCalls(func(e relay.CallEvent) { b.events <- e })
+	b := &backend{Service: httpbackend.New(metric.NewSet(), httpbackend.Options{MaxEventBytes: maxEventBytes}), events: make(chan relay.CallEvent, 100), notices: make(chan model.ServerNotice, 100)}
+	b.AttachCalls(func(e relay.CallEvent) { b.events <- e }, func(n model.ServerNotice) { b.notices <- n })
 	k := kernel.New(func(err error) { t.Error(err) })
 	for _, s := range []kernel.Service{dialect{}, b.Service} {
 		if err := k.Register(s); err != nil {
--- a/internal/service/httpbackend/conn.go
+++ b/internal/service/httpbackend/conn.go
@@ -45,7 +45,7 @@
 	reader *bufio.Reader
 	// answersRead counts the calls whose answer was read completely.
 	answersRead int
-	// idleUntil is the time from which the connection is not reused.
+	// idleUntil is the time on clock.Boot from which the connection is not reused.
 	idleUntil time.Time
 }
 
--- /dev/null
+++ b/internal/service/httpbackend/notice_test.go
@@ -0,0 +1,113 @@
+package httpbackend_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"briaryard/internal/clock"
+	"briaryard/internal/decide/relay"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+	"briaryard/internal/ring"
+)
+
+// Guards against a server's word about itself that is lost with the kind of its answer.
+func TestTheWordOfAServerIsPassedOnWithEachAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   model.ServerNotice
+		change func(*port.HTTPOutbound)
+	}{
+		"success":        {answer: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", want: model.ServerNotice{Leaving: true}},
+		"failure":        {answer: "HTTP/1.1 500 X\r\nAttempt: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", want: model.ServerNotice{Leaving: true}},
+		"refusal":        {answer: "HTTP/1.1 503 X\r\nAttempt: 1\r\nNot-Run: 1\r\nHold: 2s\r\nContent-Length: 0\r\n\r\n", want: model.ServerNotice{HoldFor: 2 * time.Second}},
+		"no proof":       {answer: "HTTP/1.1 503 X\r\nAttempt: 1\r\nHold: 2s\r\nContent-Length: 0\r\n\r\n", want: model.ServerNotice{HoldFor: 2 * time.Second}},
+		"another answer": {answer: "HTTP/1.1 200 OK\r\nAttempt: 0\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", want: model.ServerNotice{Leaving: true}},
+		"head of a stream": {answer: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nLeaving: 1\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n\n",
+			want: model.ServerNotice{Leaving: true}, change: stream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(w net.Conn, _ *http.Request, _ int) bool { _, _ = io.WriteString(w, c.answer); return false })
+			b := start(t)
+			defer b.stop()
+			b.call(t, s.listener.Addr().String(), "1", c.change)
+			// The notice came before the last event of the call.
+			g.Expect(b.notices).To(Receive(Equal(model.ServerNotice{Server: "b", Leaving: c.want.Leaving, HoldFor: c.want.HoldFor})))
+		})
+	}
+}
+
+// Guards against the word of a leaving server that counts only at the end of its stream.
+func TestTheWordOfAServerCountsAtTheHeadOfItsStream(t *testing.T) {
+	g := NewWithT(t)
+	finish := make(chan struct{})
+	s := serve(t, func(w net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt: 1\r\nLeaving: 1\r\nContent-Type: text/event-stream\r\n\r\n")
+		<-finish
+		return false
+	})
+	b := start(t)
+	defer b.stop()
+	b.OpenCall(port.HTTPOutbound{
+		ID: model.RequestID{Instance: "i", Seq: 1}, Send: 1, Attempt: "1", Server: model.BackendServer{ID: "b", Address: s.listener.Addr().String()},
+		Call: &model.HTTPCall{Method: "GET", Target: "/", Host: "h"}, Until: clock.Boot().Add(waitLimit), Stream: true,
+		Events: ring.New[port.RoutedEvent]("answer", 1, ring.Block),
+	})
+	g.Eventually(b.notices, waitLimit).Should(Receive(HaveField("Leaving", true)))
+	close(finish)
+	g.Eventually(b.events, waitLimit).Should(Receive())
+}
+
+// Guards against a granted request that is sent although its server has meanwhile said that it wants none:
+// it must be returned as unsent. Another incarnation under the same id is not held back.
+func TestACallToABarredServerIsReturned(t *testing.T) {
+	for name, word := range map[string]string{"leaving": "Leaving: 1\r\n", "hold": "Hold: 10m\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(w net.Conn, r *http.Request, _ int) bool {
+				_, _ = io.WriteString(w, "HTTP/1.1 503 X\r\nAttempt: "+r.Header.Get("Attempt")+"\r\nNot-Run: 1\r\n"+word+"Content-Length: 0\r\n\r\n")
+				return true
+			})
+			b := start(t)
+			defer b.stop()
+			e, _ := b.call(t, s.listener.Addr().String(), "1", nil)
+			g.Expect(e.Kind).To(Equal(relay.CallFull))
+			g.Expect(s.requests).To(Receive())
+			e, _ = b.call(t, s.listener.Addr().String(), "2", nil)
+			g.Expect(e.Kind).To(Equal(relay.CallReturned))
+			g.Consistently(s.requests, 50*time.Millisecond).ShouldNot(Receive(), "the server got the request")
+			e, _ = b.call(t, s.listener.Addr().String(), "3", func(o *port.HTTPOutbound) { o.Server.Incarnation = 2 })
+			g.Expect(e.Kind).To(Equal(relay.CallFull), "another incarnation")
+		})
+	}
+}
+
+// Guards against the word of a server that is lost because the caller has left in the meantime.
+func TestTheWordOfAServerCountsAfterTheCallerHasLeft(t *testing.T) {
+	g := NewWithT(t)
+	cancelled := make(chan struct{})
+	s := serve(t, func(w net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt: 0\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n")
+		<-cancelled
+		return false
+	})
+	b := start(t)
+	defer b.stop()
+	o := port.HTTPOutbound{
+		ID: model.RequestID{Instance: "i", Seq: 1}, Send: 1, Attempt: "1", Server: model.BackendServer{ID: "b", Address: s.listener.Addr().String()},
+		Call: &model.HTTPCall{Method: "GET", Target: "/", Host: "h"}, Until: clock.Boot().Add(waitLimit),
+		Events: ring.New[port.RoutedEvent]("answer", 1, ring.Block),
+	}
+	b.OpenCall(o)
+	<-s.requests
+	b.CancelCall(o.ID, o.Send)
+	g.Eventually(b.notices, waitLimit).Should(Receive(HaveField("Leaving", true)))
+	close(cancelled)
+	g.Expect(b.events).To(BeEmpty())
+}
--- a/internal/service/httpbackend/service.go
+++ b/internal/service/httpbackend/service.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"briaryard/internal/clock"
+	"briaryard/internal/decide/hold"
 	"briaryard/internal/decide/relay"
 	"briaryard/internal/kernel"
 	"briaryard/internal/metric"
@@ -34,6 +37,11 @@
 	conn *conn
 }
 
+// noticeRead is what a server has said about itself in an answer. Calls that wait for a connection to
+// it are then not sent.
+type noticeRead struct{ model.ServerNotice }
+
+func (noticeRead) message() {}
 func (openCall) message()   {}
 func (cancelCall) message() {}
 func (callEnded) message()  {}
@@ -57,19 +65,24 @@
 	metrics *metric.Set
 	dialect port.Dialect
 	sink    func(relay.CallEvent)
-	ring    *ring.Ring[message]
-	host    *kernel.Host
+	notify  func(model.ServerNotice)
+	// bars is the immutable view of barTable for the calls.
+	bars atomic.Pointer[hold.Table]
+	ring *ring.Ring[message]
+	host *kernel.Host
 
 	// The fields below are accessed only by the backend.http duty.
 	calls map[callKey]context.CancelFunc
 	idle  map[model.BackendServerID][]*conn
+	// barTable holds the words of the servers; see noticeRead.
+	barTable *hold.Table
 }
 
 // New returns the service.
 func New(m *metric.Set, o Options) *Service {
 	return &Service{
 		options: o, metrics: m, ring: ring.New[message]("backend.http", ringCapacity, ring.Block),
-		calls: make(map[callKey]context.CancelFunc), idle: make(map[model.BackendServerID][]*conn),
+		calls: make(map[callKey]context.CancelFunc), idle: make(map[model.BackendServerID][]*conn), barTable: hold.NewTable(),
 	}
 }
 
@@ -88,7 +101,7 @@
 func (s *Service) Start(h *kernel.Host) error {
 	s.host = h
 	h.Go("backend.http", func(ctx context.Context, d *kernel.Duty) {
-		kernel.Loop[message]{Ring: s.ring, TickInterval: idleCheckInterval, Handle: s.handle, OnTick: s.closeExpired}.Run(ctx, d)
+		kernel.Loop[message]{Ring: s.ring, TickInterval: idleCheckInterval, Handle: s.handle, OnTick: s.closeExpired, Now: clock.Boot}.Run(ctx, d)
 		for _, list := range s.idle {
 			for _, c := range list {
 				c.close()
@@ -105,7 +118,9 @@
 }
 
 // AttachCalls implements port.HTTPBackend.
-func (s *Service) AttachCalls(sink func(relay.CallEvent)) { s.sink = sink }
+func (s *Service) AttachCalls(events func(relay.CallEvent), notices func(model.ServerNotice)) {
+	s.sink, s.notify = events, notices
+}
 
 // OpenCall implements port.HTTPBackend.
 func (s *Service) OpenCall(o port.HTTPOutbound) { _ = s.ring.Put(context.Background(), openCall{o}) }
@@ -123,6 +138,10 @@
 		if stop := s.calls[m.key]; stop != nil {
 			stop()
 		}
+	case noticeRead:
+		if s.barTable.Apply(now, m.ServerNotice) {
+			s.bars.Store(s.barTable.Clone())
+		}
 	case callEnded:
 		delete(s.calls, m.key)
 		if m.conn != nil {
@@ -137,7 +156,7 @@
 	key := callKey{out.ID, out.Send}
 	s.calls[key] = stop
 	c := &call{
-		out: out, dialect: s.dialect, sink: s.sink, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
+		out: out, dialect: s.dialect, sink: s.sink, notify: s.passOn, barred: s.barred, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
 		startedAt: now, host: s.host, maxEventBytes: s.options.MaxEventBytes,
 	}
 	s.host.Go("backend.http.call", func(host context.Context, _ *kernel.Duty) {
@@ -151,6 +170,21 @@
 	})
 }
 
+// passOn passes the word of a server to the relay, and to the calls that are not sent yet.
+func (s *Service) passOn(n model.ServerNotice) {
+	_ = s.ring.Put(context.Background(), noticeRead{n})
+	s.notify(n)
+}
+
+// barred returns the bar of a server, if there is one now.
+func (s *Service) barred(b *model.BackendServer) (hold.Bar, bool) {
+	view := s.bars.Load()
+	if view == nil {
+		return hold.Bar{}, false
+	}
+	return view.Lookup(clock.Boot(), b.ID, b.Incarnation)
+}
+
 // takeIdle removes and returns the most recently used idle connection to the server, or nil. It
 // closes connections that have expired or that lead to another incarnation or address.
 func (s *Service) takeIdle(now time.Time, b model.BackendServer) *conn {
--- a/internal/service/registry/service.go
+++ b/internal/service/registry/service.go
@@ -46,6 +46,12 @@
 	reply       func(error)
 }
 
+// leavingSaid is the word of a server that it leaves, in an answer to this instance.
+type leavingSaid struct {
+	id          model.BackendServerID
+	incarnation model.Incarnation
+}
+
 // coreChanged is a new list of core instances.
 type coreChanged struct{ instances []model.InstanceID }
 
@@ -72,6 +78,9 @@
 	unpublished map[model.BackendServerID]model.InstanceID
 	unanswered  []func(error)
 	lastPublish time.Time
+	// leaving holds the incarnations of servers that have told this instance that they leave. It tells
+	// each core instance that it connects to, which may have started since.
+	leaving map[model.BackendServerID]model.Incarnation
 }
 
 // Options are the settings of the service.
@@ -89,6 +98,7 @@
 		log: log, refused: log.RateLimit(event.RecordRefused), metrics: m, core: o.Core, ring: ring.New[message]("registry", ringCapacity, ring.Refuse),
 		records: registry.New(o.DetectsSilence), connected: make(map[model.InstanceID]bool),
 		heardServers: make(map[model.BackendServerID]port.AnnouncementRef), unpublished: make(map[model.BackendServerID]model.InstanceID),
+		leaving: make(map[model.BackendServerID]model.Incarnation),
 	}
 }
 
@@ -140,6 +150,11 @@
 	return s.ring.Offer(departRequest{id, incarnation, reply})
 }
 
+// MarkLeaving implements port.Registry.
+func (s *Service) MarkLeaving(id model.BackendServerID, incarnation model.Incarnation) {
+	_ = s.ring.Offer(leavingSaid{id, incarnation})
+}
+
 // SubscribeServers implements port.Registry.
 func (s *Service) SubscribeServers(sink func([]model.BackendServer)) { s.sinks = append(s.sinks, sink) }
 
@@ -149,6 +164,8 @@
 		s.handleAnnounce(now, m)
 	case departRequest:
 		s.handleDepart(now, m)
+	case leavingSaid:
+		s.handleLeaving(m)
 	case coreChanged:
 		s.coreInstances = m.instances
 	case port.PeerStatus:
@@ -214,6 +231,34 @@
 	m.reply(nil)
 }
 
+// handleLeaving records that a server leaves and tells the core instances, which pass it on.
+func (s *Service) handleLeaving(m leavingSaid) {
+	s.leaving[m.id] = m.incarnation
+	record, changed := s.records.MarkLeaving(m.id, m.incarnation)
+	if !changed {
+		return
+	}
+	s.recordChanged(record, "", "said that it leaves")
+	for id := range s.connected {
+		s.send(id, port.ServersMessage{Servers: []model.BackendServer{record}})
+	}
+}
+
+// leavingRecords returns the records of the servers that have told this instance that they leave. It
+// forgets those that are gone or have started again.
+func (s *Service) leavingRecords() []model.BackendServer {
+	var out []model.BackendServer
+	for id, incarnation := range s.leaving {
+		record, known := s.records.Get(id)
+		if !known || record.Incarnation != incarnation || record.State == model.Gone {
+			delete(s.leaving, id)
+			continue
+		}
+		out = append(out, record)
+	}
+	return out
+}
+
 // handleRecords merges valid records from another instance and publishes those that have changed.
 func (s *Service) handleRecords(now time.Time, from model.InstanceID, records []model.BackendServer) {
 	changed := 0
@@ -313,8 +358,12 @@
 		s.connected[id] = true
 	case port.PeerReset:
 		s.connected[id] = true
-		if all := s.records.All(); s.core && len(all) > 0 {
-			s.send(id, port.ServersMessage{Servers: all})
+		records := s.leavingRecords()
+		if s.core {
+			records = s.records.All()
+		}
+		if len(records) > 0 {
+			s.send(id, port.ServersMessage{Servers: records})
 		}
 	case port.PeerSilent, port.PeerRecovered:
 	}
--- a/internal/service/registry/service_test.go
+++ b/internal/service/registry/service_test.go
@@ -242,3 +242,69 @@
 		t.Errorf("the server that announces itself elsewhere is %v (known: %v), want alive", b.State, ok)
 	}
 }
+
+// newEntry returns a service of an instance that takes requests, with the record of one server.
+func newEntry(t *testing.T) (*Service, *fakePeers) {
+	t.Helper()
+	log, err := event.NewStream(io.Discard, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, n := New(log, metric.NewSet(), Options{}), &fakePeers{}
+	s.peers, s.startedAt = n, start
+	s.handle(start, port.PeerStatus{Instance: model.Instance{ID: "core1"}, State: port.PeerReset})
+	s.handle(start, port.PeerMessage{From: "core1", Body: port.ServersMessage{Servers: []model.BackendServer{server(3, model.Alive)}}})
+	n.sent = nil
+	return s, n
+}
+
+// Guards against a server that has told an instance that it leaves and stays in use elsewhere until it
+// announces that, or that comes back by its own later announcement or by a restarted core instance.
+func TestTheWordThatAServerLeavesSpreads(t *testing.T) {
+	entry, n := newEntry(t)
+	entry.handle(start, leavingSaid{"s", 5})
+	if got := n.takeReceivers(); !slices.Equal(got, []model.InstanceID{"core1"}) {
+		t.Errorf("the word was sent to %v, want core1", got)
+	}
+	entry.handle(start, leavingSaid{"s", 5})
+	if got := n.takeReceivers(); len(got) != 0 {
+		t.Errorf("a repeated word was sent to %v", got)
+	}
+	if record, _ := entry.records.Get("s"); record.State != model.Leaving {
+		t.Errorf("the record says %v", record.State)
+	}
+	// A core instance that has restarted knows the server as ready.
+	entry.handle(start, port.PeerMessage{From: "core1", Body: port.ServersMessage{Servers: []model.BackendServer{server(9, model.Alive)}}})
+	if record, _ := entry.records.Get("s"); record.State != model.Leaving {
+		t.Errorf("the record says %v after a later announcement", record.State)
+	}
+	entry.handle(start, port.PeerStatus{Instance: model.Instance{ID: "core2"}, State: port.PeerReset})
+	if got := n.takeReceivers(); !slices.Equal(got, []model.InstanceID{"core2"}) {
+		t.Errorf("a new connection was sent to %v, want the word to core2", got)
+	}
+
+	core, c := newCore(t, "entry1", "entry2", "core2")
+	core.handle(start, announceRequest{server(4, model.Alive), func(error) {}})
+	c.takeReceivers()
+	core.handle(start.Add(publishInterval), port.PeerMessage{From: "entry1", Body: port.ServersMessage{Servers: []model.BackendServer{server(3, model.Leaving)}}})
+	if got, want := c.takeReceivers(), []model.InstanceID{"core2", "entry2"}; !slices.Equal(got, want) {
+		t.Errorf("the core instance told %v, want %v", got, want)
+	}
+	core.handle(start.Add(2*publishInterval), announceRequest{server(5, model.Alive), func(error) {}})
+	if record, _ := core.records.Get("s"); record.State != model.Leaving {
+		t.Errorf("the core instance has %v after a later announcement", record.State)
+	}
+}
+
+// Guards against a word that holds back the next incarnation of a server, or an unknown one.
+func TestTheWordThatAServerLeavesCountsForItsIncarnation(t *testing.T) {
+	entry, n := newEntry(t)
+	entry.handle(start, leavingSaid{"s", 4})
+	entry.handle(start, leavingSaid{"unknown", 5})
+	if got := n.takeReceivers(); len(got) != 0 {
+		t.Errorf("told %v", got)
+	}
+	if record, _ := entry.records.Get("s"); record.State != model.Alive {
+		t.Errorf("the record says %v", record.State)
+	}
+}
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -58,7 +58,10 @@
 	peers    port.Peers
 	allocate port.Allocator
 	backend  port.HTTPBackend
-	lastSeq  atomic.Uint64
+	registry port.Registry
+	// invalidHold logs the times of servers that cannot be read.
+	invalidHold *event.RateLimited
+	lastSeq     atomic.Uint64
 
 	// The fields below belong to the relay duty.
 	machine   *relay.Machine
@@ -74,7 +77,7 @@
 // New returns the service.
 func New(log *event.Log, m *metric.Set, o Options) *Service {
 	return &Service{
-		log: log, metrics: m, options: o, ring: ring.New[message]("relay", ringCapacity, ring.Block),
+		log: log, metrics: m, options: o, invalidHold: log.RateLimit(event.ServerHoldInvalid), ring: ring.New[message]("relay", ringCapacity, ring.Block),
 		machine: relay.New(retry.New(o.Retries)), admission: relay.Admission{Lease: o.ConfigLease},
 		submissions: make(map[model.RequestID]*port.RoutedSubmission), requests: make(map[model.RequestID]*relay.Request),
 	}
@@ -85,7 +88,7 @@
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string {
-	return []string{port.PeersName, port.RoutesName, port.RosterName, port.AllocateName, port.HTTPBackendName}
+	return []string{port.PeersName, port.RoutesName, port.RosterName, port.AllocateName, port.HTTPBackendName, port.RegistryName}
 }
 
 // Provision implements kernel.Service.
@@ -94,14 +97,14 @@
 	var instances port.Roster
 	err := r.Bind(kernel.Into(port.PeersName, &s.peers), kernel.Into(port.RoutesName, &routes),
 		kernel.Into(port.RosterName, &instances), kernel.Into(port.AllocateName, &s.allocate),
-		kernel.Into(port.HTTPBackendName, &s.backend))
+		kernel.Into(port.HTTPBackendName, &s.backend), kernel.Into(port.RegistryName, &s.registry))
 	if err != nil {
 		return err
 	}
 	routes.SubscribeViews(func(v port.RouteView) { s.put(v) })
 	instances.SubscribeInstances(func(l *roster.Lists) { s.put(l) })
 	s.allocate.AttachDecisions(func(a port.Allocation) { s.put(a) })
-	s.backend.AttachCalls(func(e relay.CallEvent) { s.put(e) })
+	s.backend.AttachCalls(func(e relay.CallEvent) { s.put(e) }, func(n model.ServerNotice) { s.put(n) })
 	return nil
 }
 
@@ -156,6 +159,8 @@
 		s.machine.HandleDecision(now, m.Decision, m.LocalDecision)
 	case relay.CallEvent:
 		s.machine.HandleCallEvent(now, m)
+	case model.ServerNotice:
+		s.machine.HandleNotice(now, m)
 	case port.RouteView:
 		s.admission.Table, s.admission.ConfirmedAt = m.Table, m.AsOf
 		s.held.Release(now, true, func(id model.RequestID, arrived time.Time) { s.admitHeld(now, id, arrived) })
@@ -273,6 +278,10 @@
 		}
 	case relay.Abort:
 		s.abort(e)
+	case relay.PassOn:
+		s.passOn(now, e.ServerNotice)
+	case relay.Returned:
+		s.log.Emit(event.RoutedReturned, e.ID.String(), s.requests[e.ID].Attempt, e.Server, e.Leaving, e.For)
 	case relay.Retried:
 		s.logRetry(e)
 	case relay.Ended:
@@ -290,6 +299,19 @@
 	})
 }
 
+// passOn passes on what a backend server has said about itself: to the allocator before any further
+// request for a server, and to the other instances if the server leaves.
+func (s *Service) passOn(now time.Time, n model.ServerNotice) {
+	s.log.Emit(event.ServerSaid, n.Server, n.Incarnation, n.Leaving, n.HoldFor)
+	if n.Invalid != "" {
+		s.invalidHold.Emit(now, n.Server, n.Invalid, n.HoldFor)
+	}
+	s.allocate.Notify(n)
+	if n.Leaving {
+		s.registry.MarkLeaving(n.Server, n.Incarnation)
+	}
+}
+
 func (s *Service) abort(e relay.Abort) {
 	sub := s.submissions[e.ID]
 	if sub == nil {
--- a/internal/service/scheduler/service.go
+++ b/internal/service/scheduler/service.go
@@ -223,6 +223,10 @@
 			delete(sess.waiting, b.ID)
 			s.scheduler.Withdraw(now, b.ID)
 		}
+	case port.ServerNoticeMessage:
+		if b.Session == sess.id {
+			s.scheduler.HandleNotice(now, m.From, b.Notice)
+		}
 	case port.OutcomeMessage:
 		if b.Session == sess.id {
 			s.lastActivity = now
--- a/internal/wire/routedwire/codec.go
+++ b/internal/wire/routedwire/codec.go
@@ -31,6 +31,11 @@
 		env.Body = &pb.Envelope_Withdraw{Withdraw: &pb.Withdraw{Session: m.Session, Id: encodeID(m.ID)}}
 	case port.OutcomeMessage:
 		env.Body = &pb.Envelope_Report{Report: encodeReport(m)}
+	case port.ServerNoticeMessage:
+		env.Body = &pb.Envelope_ServerNotice{ServerNotice: &pb.ServerNotice{
+			Session: m.Session, Server: string(m.Notice.Server), Incarnation: uint64(m.Notice.Incarnation),
+			Leaving: m.Notice.Leaving, HoldUs: m.Notice.HoldFor.Microseconds(),
+		}}
 	case port.JoinedMessage:
 		env.Body = &pb.Envelope_Joined{Joined: &pb.Joined{Session: m.Session}}
 	case port.DecisionMessage:
@@ -160,6 +165,8 @@
 		return port.WithdrawSubmitMessage{Session: b.Withdraw.GetSession(), ID: decodeID(b.Withdraw.GetId())}, nil
 	case *pb.Envelope_Report:
 		return decodeReport(b.Report)
+	case *pb.Envelope_ServerNotice:
+		return decodeNotice(b.ServerNotice)
 	case *pb.Envelope_Joined:
 		return port.JoinedMessage{Session: b.Joined.GetSession()}, nil
 	case *pb.Envelope_Verdict:
@@ -227,8 +234,18 @@
 	}}, nil
 }
 
+func decodeNotice(n *pb.ServerNotice) (any, error) {
+	holdFor := micros(n.GetHoldUs())
+	if n.GetServer() == "" || n.GetHoldUs() < 0 || n.GetHoldUs() > model.MaxServerHold.Microseconds() {
+		return nil, &fault.PeerProtocol{Reason: "notice of a backend server out of range"}
+	}
+	return port.ServerNoticeMessage{Session: n.GetSession(), Notice: model.ServerNotice{
+		Server: model.BackendServerID(n.GetServer()), Incarnation: model.Incarnation(n.GetIncarnation()), Leaving: n.GetLeaving(), HoldFor: holdFor,
+	}}, nil
+}
+
 func decodeVerdict(v *pb.Verdict) (any, error) {
-	if v.GetReason() > uint32(schedule.DeniedNoServer) {
+	if v.GetReason() > uint32(schedule.DeniedHeld) {
 		return nil, &fault.PeerProtocol{Reason: "unknown reason"}
 	}
 	m := port.DecisionMessage{Session: v.GetSession(), Decision: schedule.Decision{
