--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -76,7 +76,7 @@
 	before := m.listed()
 	changed := m.Address != e.Address || m.Domain != e.Domain
 	m.Entry = e
-	if before == m.listed() && !(before && changed) {
+	if before == m.listed() && (!before || !changed) {
 		return false
 	}
 	i.recordChange(e.Instance, m)
