--- a/internal/decide/allocate/machine.go
+++ b/internal/decide/allocate/machine.go
@@ -13,7 +13,7 @@
 const (
 	// dispatcherTimeout is how long the dispatcher may leave a request without a message before this
 	// instance decides alone. It allows for two heartbeat intervals and a round trip between failure
-	// domains, and is a third of the shortest latency objective of a stream.
+	// domains, and is at most half of the shortest latency objective of a stream (400 ms).
 	dispatcherTimeout = 200 * time.Millisecond
 	// HeartbeatInterval is the interval of the dispatcher's heartbeats to instances with waiting
 	// requests.
--- a/internal/decide/entry/limiter.go
+++ b/internal/decide/entry/limiter.go
@@ -11,6 +11,8 @@
 type bucket struct {
 	tokens float64
 	at     time.Time
+	// fullAt is when the bucket is full again.
+	fullAt time.Time
 }
 
 // takeToken refills the bucket and takes one token. If none is left, it returns the time
@@ -23,8 +25,12 @@
 		b.tokens = min(size, b.tokens+now.Sub(b.at).Seconds()*rate)
 	}
 	b.at = now
-	if b.tokens >= 1 {
+	taken := b.tokens >= 1
+	if taken {
 		b.tokens--
+	}
+	b.fullAt = now.Add(time.Duration(min((size-b.tokens)/rate, maxRefill.Seconds()) * float64(time.Second)))
+	if taken {
 		return 0, true
 	}
 	return time.Duration((1 - b.tokens) / rate * float64(time.Second)), false
@@ -49,9 +55,13 @@
 	callers map[callerKey]*usage
 }
 
-// idleCallerAge is how long the bucket of an idle caller is kept. By then it is full again
-// if the rate refills the burst within a minute.
-const idleCallerAge = time.Minute
+const (
+	// idleCallerAge is how long the bucket of an idle caller is kept at least.
+	idleCallerAge = time.Minute
+	// maxRefill bounds the time for which a bucket is kept until it is full again, and with it the
+	// memory that callers with invented names take up.
+	maxRefill = time.Hour
+)
 
 func newLimiter() limiter {
 	return limiter{teams: make(map[model.TeamID]*usage), callers: make(map[callerKey]*usage)}
@@ -113,10 +123,11 @@
 	return nil
 }
 
-// expire drops idle callers, which bounds the memory use when callers invent new names.
+// expire drops idle callers whose buckets are full again, which bounds the memory use when callers
+// invent new names. Dropped earlier, a bucket would be full at the caller's next request.
 func (l *limiter) expire(now time.Time) {
 	for key, c := range l.callers {
-		if c.inProgress <= 0 && now.Sub(c.bucket.at) > idleCallerAge {
+		if c.inProgress <= 0 && now.Sub(c.bucket.at) > idleCallerAge && !now.Before(c.bucket.fullAt) {
 			delete(l.callers, key)
 		}
 	}
--- a/internal/decide/entry/refusal_test.go
+++ b/internal/decide/entry/refusal_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"briaryard/internal/decide/state"
 	"briaryard/internal/fault"
 	"briaryard/internal/model"
@@ -137,3 +139,25 @@
 		}
 	}
 }
+
+// Guards against a caller that gets its burst again before its rate has refilled it, by waiting for its
+// bucket to be dropped.
+func TestABucketIsKeptUntilItIsFull(t *testing.T) {
+	g := NewWithT(t)
+	l := newLimiter()
+	team := &model.Team{ID: "t", CallerRatePerSecond: 0.1, Burst: 30}
+	now := time.Unix(1000, 0)
+	for range 30 {
+		g.Expect(l.check(now, team, "c")).To(BeNil())
+	}
+	now = now.Add(2 * idleCallerAge)
+	l.expire(now)
+	allowed := 0
+	for l.check(now, team, "c") == nil {
+		allowed++
+	}
+	g.Expect(allowed).To(Equal(12), "120 s at one in 10 s")
+	now = now.Add(10 * time.Minute)
+	l.expire(now)
+	g.Expect(l.callers).To(BeEmpty())
+}
--- a/internal/decide/relay/machine_test.go
+++ b/internal/decide/relay/machine_test.go
@@ -195,7 +195,8 @@
 }
 
 // simulatedServer records what a simulated backend server has done with the request.
-type simulatedServer struct{ ran, refused, began bool }
+// ended is set once the whole of a forwarded answer has been sent.
+type simulatedServer struct{ ran, refused, began, ended bool }
 
 // Guards, under random call events, against a second run of a request that may run only once, a
 // false not_run refusal, a second final answer, and another answer after a stream has begun.
@@ -207,7 +208,7 @@
 		now := start
 		m.Arrive(now, r)
 		var servers []simulatedServer
-		finals, cancelled := 0, false
+		finals, cancelled, gone := 0, false, false
 		for step := 0; m.OpenRequests() > 0 && step < 100; step++ {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
 			for _, e := range m.TakeEffects() {
@@ -230,13 +231,20 @@
 			m.Tick(now)
 			if rapid.IntRange(0, 15).Draw(t, "gone") == 0 {
 				m.CallerDisconnected(now, id)
+				gone = true
 			}
 		}
 		for _, e := range m.TakeEffects() {
 			finals += checkFinal(t, e, servers, cancelled)
 		}
-		if finals > 1 {
-			t.Fatalf("%d final answers", finals)
+		if slices.ContainsFunc(servers, func(s simulatedServer) bool { return s.ended }) {
+			finals++
+		}
+		if finals > 1 || finals == 0 && !gone {
+			t.Fatalf("%d final answers, caller gone: %v", finals, gone)
+		}
+		if m.OpenRequests() > 0 {
+			t.Fatal("the request is still open after its deadline")
 		}
 		runs := 0
 		for _, s := range servers {
@@ -305,7 +313,7 @@
 			e.Kind, e.LastEvent = relay.CallBroken, rapid.SampledFrom([]string{"", "3"}).Draw(t, "last")
 		}
 	case 6:
-		s.ran, s.began = true, true
+		s.ran, s.began, s.ended = true, true, true
 		m.HandleCallEvent(now, relay.CallEvent{ID: id, Send: send, Kind: relay.CallBegan})
 		e.Kind = relay.CallEnded
 	default:
--- a/internal/decide/schedule/decide.go
+++ b/internal/decide/schedule/decide.go
@@ -163,7 +163,7 @@
 	// maxReserveShare limits the reserved slots to a share of the slots of a service.
 	maxReserveShare = 0.3
 	// reserveWait is the time that an urgent request may wait for a less urgent one to release its
-	// slot: a quarter of the shortest latency objective of a stream.
+	// slot: a quarter of the shortest latency objective of a stream (400 ms).
 	reserveWait = 100 * time.Millisecond
 )
 
--- a/internal/harness/schedule.go
+++ b/internal/harness/schedule.go
@@ -93,8 +93,10 @@
 	s.do(func(now time.Time) { s.pool.ApplyCache(now, e) })
 }
 func (s *dispatcher) tick() {
+	before := s.run.result.Messages
 	s.do(func(now time.Time) { s.pool.Tick(now) })
-	s.run.result.Messages--
+	// A tick is no message; one that finds the dispatcher down is not counted at all.
+	s.run.result.Messages = before
 }
 func (s *dispatcher) servers() { s.do(func(now time.Time) { s.pool.SetServers(now, s.run.servers()) }) }
 
--- a/internal/service/dispatcher/outbox.go
+++ b/internal/service/dispatcher/outbox.go
@@ -31,13 +31,13 @@
 // false when the message is lost: the queue is full, or sending failed permanently. A request
 // for the state of a pool replaces an earlier queued one for the same pool.
 func (o *outbox) put(to model.InstanceID, m any) bool {
-	waiting := o.pending[to]
 	if r, ok := m.(port.StateRequest); ok {
-		waiting = slices.DeleteFunc(waiting, func(w any) bool {
+		o.setPending(to, slices.DeleteFunc(o.pending[to], func(w any) bool {
 			earlier, same := w.(port.StateRequest)
 			return same && earlier.Pool == r.Pool
-		})
+		}))
 	}
+	waiting := o.pending[to]
 	if len(waiting) == 0 {
 		err := o.send(to, m)
 		if !retryable(err) {
@@ -57,12 +57,17 @@
 		for len(waiting) > 0 && !retryable(o.send(to, waiting[0])) {
 			waiting = waiting[1:]
 		}
-		if len(waiting) == 0 {
-			delete(o.pending, to)
-		} else {
-			o.pending[to] = waiting
-		}
+		o.setPending(to, waiting)
+	}
+}
+
+// setPending replaces the messages queued for an instance.
+func (o *outbox) setPending(to model.InstanceID, waiting []any) {
+	if len(waiting) == 0 {
+		delete(o.pending, to)
+		return
 	}
+	o.pending[to] = waiting
 }
 
 // drop discards the messages queued for an instance that has been removed or replaced.
--- a/internal/service/dispatcher/outbox_test.go
+++ b/internal/service/dispatcher/outbox_test.go
@@ -75,3 +75,22 @@
 	s.setView(time.Now(), &model.View{})
 	g.Expect(s.outbox.pending).To(BeEmpty())
 }
+
+// Guards against an empty message in the queue: a request for state that replaced the only queued one and
+// was sent at once left its place behind.
+func TestAReplacedRequestLeavesNothingBehind(t *testing.T) {
+	g := NewWithT(t)
+	var sent []any
+	failure := error(&ring.FullError{})
+	o := newOutbox(func(_ model.InstanceID, m any) error {
+		if failure == nil {
+			sent = append(sent, m)
+		}
+		return failure
+	})
+	g.Expect(o.put("i", port.StateRequest{Pool: "m"})).To(BeTrue())
+	failure = nil
+	g.Expect(o.put("i", port.StateRequest{Pool: "m"})).To(BeTrue())
+	o.flush()
+	g.Expect(sent).To(Equal([]any{port.StateRequest{Pool: "m"}}))
+}
--- a/internal/service/frontannounce/announcement.go
+++ b/internal/service/frontannounce/announcement.go
@@ -103,7 +103,8 @@
 
 // loadReport returns the load report with the time of the measurement by the clock of this instance.
 func (a *Announcement) loadReport(now time.Time) *model.LoadReport {
-	age := min(max(time.Duration(a.Load.AgeMS)*time.Millisecond, 0), maxLoadAge)
+	// The number is bounded before it becomes a duration, which it may not fit.
+	age := time.Duration(min(max(a.Load.AgeMS, 0), maxLoadAge.Milliseconds())) * time.Millisecond
 	return &model.LoadReport{
 		Server: model.BackendServerID(a.ID), Incarnation: model.Incarnation(a.Incarnation), At: now.Add(-age),
 		Running: a.Load.Running, Queued: a.Load.Queued, PrefillTokens: a.Load.PrefillTokens,
--- a/internal/service/scheduler/service.go
+++ b/internal/service/scheduler/service.go
@@ -51,6 +51,8 @@
 	lastSent time.Time
 	// downSince is when the connection failed, or zero.
 	downSince time.Time
+	// silent is set while no data arrives on the connection: the instance may decide alone.
+	silent bool
 }
 
 // Service schedules the routed requests of the fleet.
@@ -164,7 +166,7 @@
 	}
 	joined := 0
 	for id, sess := range s.sessions {
-		if sess.downSince.IsZero() {
+		if sess.downSince.IsZero() && !sess.silent {
 			delete(s.lost, id)
 			joined++
 		}
@@ -181,8 +183,11 @@
 		if st.State == port.PeerDown {
 			sess.downSince = now
 		}
+		sess.silent = st.State == port.PeerSilent
 	case st.State == port.PeerUp:
-		sess.downSince = time.Time{}
+		sess.downSince, sess.silent = time.Time{}, false
+	case st.State == port.PeerRecovered:
+		sess.silent = false
 	case st.State == port.PeerReset:
 		// The instance joins again.
 		delete(s.sessions, st.Instance.ID)
--- a/internal/service/scheduler/service_test.go
+++ b/internal/service/scheduler/service_test.go
@@ -215,3 +215,27 @@
 		t.Error("the allotment does not refill, or the join of another instance emptied it")
 	}
 }
+
+// Guards against allotments that are handed out twice: an instance whose connection is silent may decide
+// alone, with its share, for longer than one tick.
+func TestASilentInstanceKeepsItsShareOfTheAllotments(t *testing.T) {
+	s, _ := newService(t)
+	join(s, start, "a", 1)
+	join(s, start, "b", 1)
+	silent := func(state port.PeerState) {
+		s.handle(start, port.PeerStatus{Instance: model.Instance{ID: "b"}, State: state})
+	}
+	silent(port.PeerSilent)
+	for tick := range 10 {
+		now := start.Add(time.Duration(tick) * tickInterval)
+		s.onTick(now)
+		if len(s.lost) != 1 {
+			t.Fatalf("tick %d: %d instances may decide alone, want 1", tick, len(s.lost))
+		}
+	}
+	silent(port.PeerRecovered)
+	s.onTick(start)
+	if len(s.lost) != 0 {
+		t.Errorf("%d instances may decide alone after the connection has recovered", len(s.lost))
+	}
+}
