Read the logs of a fleet by command: explain one request, report all

Change: briaryard logs explain ID FILES shows the lines of all processes about a request, named by its own or its attempt's id, and the changes of its servers, configuration and dispatcher from 10 s before it; briaryard logs report FILES [--svg FILE] sums up by route: asked, results, denials by reason, calls, waits, and a plot over time. Both pass over other output and long lines, and say if lines were dropped.

--- a/cmd/briaryard/main.go
+++ b/cmd/briaryard/main.go
@@ -26,6 +26,7 @@
 	Drain    drainCommand    `cmd:"" group:"Operate" help:"Stop an instance gracefully: it cuts off no answer."`
 	Voters   votersCommands  `cmd:"" group:"Operate" help:"List and change the voters of the control group."`
 	Metrics  metricsCommand  `cmd:"" group:"Operate" help:"Show the metrics of an instance."`
+	Logs     logsCommands    `cmd:"" group:"Operate" help:"Read the logs of a fleet: follow a request, or sum up all."`
 	Events   eventsCommand   `cmd:"" group:"Look up" help:"List the log events with their numbers."`
 	Errors   errorsCommand   `cmd:"" group:"Look up" help:"List the failures with status, run state and exit code."`
 	Version  versionCommand  `cmd:"" group:"Look up" help:"Show the version of this program."`
