Keep a few slots for a rank that is underserved

Ruled out: the allotments, and the refusals that instances repeat (they repeat what the dispatcher says). Change: the scheduler counts the served share of each rank. One below 0.35 of the share of all gets up to 6 in 100 of the slots ahead of the others, and is admitted by the wait for those. A denial that an instance repeats counts for its own rank only.

--- a/internal/decide/allocate/denials.go
+++ b/internal/decide/allocate/denials.go
@@ -47,10 +47,11 @@
 }
 
 // lookup returns a denial that also applies to a request. A queue that is too long for one request is too
-// long for less urgent ones, and for those of its rank that are no smaller, if they can wait no longer.
+// long for those of its rank that are no smaller, if they can wait no longer. It may not be too long for a
+// less urgent one, whose rank may be underserved.
 func (s *denialCache) lookup(now time.Time, w *schedule.Request) (schedule.Decision, bool) {
 	if d, ok := s.byService[w.Service]; ok && now.Sub(d.at) < denialTTL && maxWait(w) <= maxWait(&d.want) &&
-		(d.want.Rank < w.Rank || d.want.Rank == w.Rank && d.noLargerThan(w)) {
+		d.want.Rank == w.Rank && d.noLargerThan(w) {
 		return d.decisionFor(w), true
 	}
 	if d, ok := s.byTeam[w.Team]; ok && now.Sub(d.at) < min(denialTTL, d.RetryAfter) && !w.Admitted && d.noLargerThan(w) {
--- a/internal/decide/schedule/decide.go
+++ b/internal/decide/schedule/decide.go
@@ -66,27 +66,21 @@
 }
 
 // grantNext grants the first request in the order for which a suitable server has room, and reports
-// whether there was one. Less urgent ranks do not use the slots reserved for more urgent ones.
+// whether there was one. Less urgent ranks do not use the slots reserved for more urgent ones, unless they are
+// underserved.
 func (s *Scheduler) grantNext(now time.Time, v *service, c *candidates) bool {
 	if len(c.servers) == 0 || s.options.Share < 1 && !v.partitioned && v.running >= int(s.usableSlots(now, v))+1 {
 		return false
 	}
+	if s.grantUnderserved(now, v, c) {
+		return true
+	}
 	reserved, maxReserved := 0.0, maxReserveShare*float64(c.totalSlots)
 	for index, r := range v.ranks {
 		if r.len() > 0 && c.freeSlots <= int(reserved) {
 			return false
 		}
-		granted := r.find(
-			func(q *queuedRequest) bool { return v.canFinish(now, q, c) },
-			func(q *queuedRequest) bool {
-				b := v.choose(now, q, c)
-				if b != nil {
-					s.grant(now, v, q, b)
-					c.takeSlot(b)
-				}
-				return b != nil
-			})
-		if granted {
+		if s.grantFrom(now, v, c, r) {
 			return true
 		}
 		reserved = min(reserved+v.slotsToReserve(now, index), maxReserved)
@@ -94,6 +88,21 @@
 	return false
 }
 
+// grantFrom grants the first request of a rank for which a suitable server has room, and reports whether
+// there was one.
+func (s *Scheduler) grantFrom(now time.Time, v *service, c *candidates, r *rank) bool {
+	return r.find(
+		func(q *queuedRequest) bool { return v.canFinish(now, q, c) },
+		func(q *queuedRequest) bool {
+			b := v.choose(now, q, c)
+			if b != nil {
+				s.grant(now, v, q, b)
+				c.takeSlot(b)
+			}
+			return b != nil
+		})
+}
+
 // updateSuspects marks servers with an overdue call as suspect, at most once in suspectInterval.
 func (v *service) updateSuspects(now time.Time) {
 	if now.Sub(v.suspectsChecked) < suspectInterval {
@@ -274,5 +283,6 @@
 	r := v.rank(q.Rank)
 	r.running++
 	r.sizeClasses.recordGrant(q.work)
+	v.recordGrant(r)
 	s.decisions = append(s.decisions, Decision{ID: q.ID, Server: b.record, Inputs: in})
 }
--- a/internal/decide/schedule/estimate.go
+++ b/internal/decide/schedule/estimate.go
@@ -148,7 +148,7 @@
 			ahead += r.ahead(q)
 		}
 	}
-	return ahead/s.usableSlots(now, v) <= time.Duration(queueMargin*float64(q.StartDeadline.Sub(now)))
+	return ahead/s.usableSlots(now, v) <= time.Duration(queueMargin*float64(q.StartDeadline.Sub(now))) || s.canStartGuarded(now, v, q)
 }
 
 // drainTime estimates the time to work off the current queue, after which a denied caller finds room.
--- a/internal/decide/schedule/order.go
+++ b/internal/decide/schedule/order.go
@@ -110,6 +110,8 @@
 	// that end per second, and sizeClasses the share of large requests that is served.
 	arrivals, completions decayingRate
 	sizeClasses           sizeClasses
+	// tally counts the arrivals and grants of the rank.
+	tally tally
 	// running counts the granted requests.
 	running int
 }
--- a/internal/decide/schedule/overload_test.go
+++ b/internal/decide/schedule/overload_test.go
@@ -107,6 +107,7 @@
 // simulation runs a load pattern against simulated engines.
 type simulation struct {
 	s       *schedule.Scheduler
+	kinds   []kind
 	rand    *rand.Rand
 	now     time.Time
 	events  eventHeap
@@ -138,7 +139,7 @@
 
 func newSimulation(seed uint64, engines int) *simulation {
 	sim := &simulation{
-		s: schedule.New(schedule.Options{Share: 1}), rand: rand.New(rand.NewPCG(seed, 1)), now: start,
+		s: schedule.New(schedule.Options{Share: 1}), kinds: kinds, rand: rand.New(rand.NewPCG(seed, 1)), now: start,
 		engines: map[model.BackendServerID]*simEngine{}, runs: map[model.RequestID]*simRun{}, waiting: map[model.RequestID]*simCaller{},
 	}
 	sim.s.SetDocument(start, &model.RouteConfig{Services: map[model.PoolID]model.RoutedService{
@@ -157,7 +158,7 @@
 
 // run simulates a load pattern; scale is the factor on the rates of all kinds.
 func (sim *simulation) run(length time.Duration, scale float64, l loadPattern) {
-	for k := range kinds {
+	for k := range sim.kinds {
 		sim.scheduleArrival(k, length, scale, l)
 	}
 	sim.scheduleAt(start, sim.tick)
@@ -181,13 +182,13 @@
 // scheduleArrival schedules the next arrival of a kind as a Poisson process.
 func (sim *simulation) scheduleArrival(k int, length time.Duration, scale float64, l loadPattern) {
 	at := sim.now.Sub(start)
-	rate := kinds[k].perSecond * scale * l(k, at)
+	rate := sim.kinds[k].perSecond * scale * l(k, at)
 	next := sim.now.Add(time.Duration(sim.rand.ExpFloat64() / rate * float64(time.Second)))
 	if next.After(start.Add(length)) {
 		return
 	}
 	sim.scheduleAt(next, func() {
-		q := &kinds[k]
+		q := &sim.kinds[k]
 		c := &simCaller{
 			kind: k, firstAsked: sim.now, prompt: int(lognormal(sim.rand, q.prompt, q.promptCV, q.prompt*6)) + 60,
 			events: int(lognormal(sim.rand, q.events*1.1, 2.4, q.maxEvents)) + 1,
@@ -201,7 +202,7 @@
 
 // ask sends a caller's request to the scheduler.
 func (sim *simulation) ask(c *simCaller) {
-	q := &kinds[c.kind]
+	q := &sim.kinds[c.kind]
 	sim.seq++
 	id := model.RequestID{Instance: "i", Incarnation: 1, Seq: sim.seq}
 	end := c.firstAsked.Add(q.deadline)
@@ -232,7 +233,7 @@
 			sim.retry(c, d.RetryAfter)
 			continue
 		}
-		r := &simRun{caller: c, id: d.ID, pendingPrompt: c.prompt, sent: sim.now, deadline: c.firstAsked.Add(kinds[c.kind].deadline)}
+		r := &simRun{caller: c, id: d.ID, pendingPrompt: c.prompt, sent: sim.now, deadline: c.firstAsked.Add(sim.kinds[c.kind].deadline)}
 		sim.runs[d.ID] = r
 		e := sim.engines[d.Server.ID]
 		e.active = append(e.active, r)
@@ -268,7 +269,7 @@
 
 // retry schedules the retry of a denied caller, after at most a third of its remaining time.
 func (sim *simulation) retry(c *simCaller, after time.Duration) {
-	remaining := c.firstAsked.Add(kinds[c.kind].deadline).Sub(sim.now)
+	remaining := c.firstAsked.Add(sim.kinds[c.kind].deadline).Sub(sim.now)
 	after = min(after, remaining/3)
 	if c.tries > callerRetries || remaining < 100*time.Millisecond {
 		c.ended = true
@@ -308,7 +309,7 @@
 	r.tokens++
 	if r.tokens == 1 {
 		r.first = sim.now
-		r.caller.late = sim.now.Sub(r.caller.firstAsked) > kinds[r.caller.kind].target
+		r.caller.late = sim.now.Sub(r.caller.firstAsked) > sim.kinds[r.caller.kind].target
 		sim.s.Report(sim.now, schedule.Report{ID: r.id, Server: e.id, Outcome: schedule.Began, First: sim.now.Sub(r.sent)})
 	}
 	events := (r.tokens + eventTokens - 1) / eventTokens
@@ -369,15 +370,15 @@
 	for _, c := range list {
 		size := min(0.3+0.7*float64(c.prompt+50*c.events)/mean, 4)
 		o.asked++
-		maxCredit += size * kinds[k].credit
+		maxCredit += size * sim.kinds[k].credit
 		switch {
 		case c.served && !c.late:
 			o.served++
 			o.onTime++
-			o.credit += size * kinds[k].credit
+			o.credit += size * sim.kinds[k].credit
 		case c.served:
 			o.served++
-			o.credit += size * kinds[k].lateCredit
+			o.credit += size * sim.kinds[k].lateCredit
 		}
 	}
 	o.credit /= maxCredit
@@ -390,13 +391,13 @@
 	t.Helper()
 	served, asked := 0, 0
 	var credit, maxCredit float64
-	for k := range kinds {
+	for k := range sim.kinds {
 		o := sim.outcome(k)
 		served, asked = served+o.served, asked+o.asked
-		credit += o.credit * float64(o.asked) * kinds[k].credit
-		maxCredit += float64(o.asked) * kinds[k].credit
+		credit += o.credit * float64(o.asked) * sim.kinds[k].credit
+		maxCredit += float64(o.asked) * sim.kinds[k].credit
 		t.Logf("%-9s asked %5d served %.3f on time %.3f credit %.3f, of the largest tenth %.3f, the fifth below %.3f",
-			kinds[k].name, o.asked, o.share(), float64(o.onTime)/float64(max(o.asked, 1)), o.credit, o.large, o.upper)
+			sim.kinds[k].name, o.asked, o.share(), float64(o.onTime)/float64(max(o.asked, 1)), o.credit, o.large, o.upper)
 	}
 	t.Logf("credit %.4f served %.4f; slot time used %.0f s, wasted %.0f s; %d denials after %.2f s, %d requests timed out, %d answers late for a gap",
 		credit/maxCredit, float64(served)/float64(asked), sim.usedTime.Seconds(), sim.wastedTime.Seconds(),
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -64,6 +64,8 @@
 	servers    []*server
 	nextServer int
 	ranks      []*rank
+	// tally counts the arrivals and grants of all ranks.
+	tally tally
 	// running counts the granted requests.
 	running int
 	// noServerSince is when the service was first seen without a usable server, or zero.
@@ -230,6 +232,7 @@
 	q.late = !now.Add(q.firstEvent).Before(q.StartTarget)
 	q.events, q.likely = v.estimateEvents(&w)
 	r.sizeClasses.recordArrival(q.work)
+	v.recordArrival(r)
 	q.sizePenalty = r.sizePenalty(q.work)
 	q.setTimes()
 	s.expire(now, v)
