Forget servers that are lost for good, at every instance

Change: an instance that cannot detect silence forgets a record that has not been alive for 10 minutes; the list that the registry publishes is complete for the scheduler, which drops what is missing once nothing of it runs. Tests: 2,000 servers that crash one after the other leave at most 61 records (before: 2,000); a server that is no longer known is granted nothing and comes back with its record (before: it was granted).

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -16,6 +16,9 @@
 	// that is gone is remembered, so that its late announcements are recognised.
 	removeSilentAfter = 20 * time.Second
 	goneRetention     = time.Minute
+	// staleRetention is how long an instance that cannot tell whether a server is silent keeps the record
+	// of one that is suspect, leaving or gone. The instances that can tell drop it without a message.
+	staleRetention = 10 * time.Minute
 	// maxTickGap is the time between two ticks above which this instance counts as having been paused:
 	// it has then missed announcements.
 	maxTickGap = time.Second
@@ -30,6 +33,8 @@
 type entry struct {
 	record    model.BackendServer
 	lastHeard time.Time
+	// stateSince is when the record took its state.
+	stateSince time.Time
 }
 
 // Registry holds the records of the backend servers as known to one instance.
@@ -112,6 +117,9 @@
 		e = &entry{lastHeard: now}
 		r.entries[s.ID] = e
 	}
+	if !known || e.record.State != s.State || e.record.Incarnation != s.Incarnation {
+		e.stateSince = now
+	}
 	if known && e.record.Incarnation == s.Incarnation {
 		if e.record.State == model.Leaving || e.record.State == model.Gone {
 			s.State = max(s.State, e.record.State)
@@ -213,6 +221,20 @@
 	return model.BackendServer{}, false
 }
 
+// Forget drops the records of servers that have not been alive for staleRetention. Instances that detect
+// silence drop theirs in Tick.
+func (r *Registry) Forget(now time.Time) {
+	for id, e := range r.entries {
+		if r.detectsSilence || e.record.State == model.Alive || now.Sub(e.stateSince) < staleRetention {
+			continue
+		}
+		if r.addressOwners[e.record.Address] == id {
+			delete(r.addressOwners, e.record.Address)
+		}
+		delete(r.entries, id)
+	}
+}
+
 // SetPeersReachable sets whether all instances that receive announcements are reachable. A server
 // that is silent here may announce itself to an unreachable one.
 func (r *Registry) SetPeersReachable(now time.Time, complete bool) {
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -162,3 +163,22 @@
 		}
 	})
 }
+
+// Guards against an instance whose records grow with every server that ever crashed: those that detect
+// silence drop such a record without telling the others.
+func TestRecordsOfServersThatAreLostAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New(false)
+	now := time.Unix(1000, 0)
+	for n := range 2000 {
+		now = now.Add(10 * time.Second)
+		id, address := fmt.Sprint("s", n), fmt.Sprintf("10.0.%d.%d:80", n/200, n%200+1)
+		r.Merge(now, server(id, address, 1, 1, model.Alive))
+		r.Merge(now, server(id, address, 1, 1, model.Suspect))
+		r.Forget(now)
+	}
+	g.Expect(len(r.All())).To(BeNumerically("<=", 61), "those of the last ten minutes")
+	r.Merge(now, server("alive", "10.9.0.1:80", 1, 1, model.Alive))
+	r.Forget(now.Add(time.Hour))
+	g.Expect(r.All()).To(HaveLen(1), "a server that is alive is kept")
+}
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -144,11 +144,21 @@
 	return v
 }
 
-// SetServers updates the records of the given backend servers.
+// SetServers sets the records of all known backend servers. Those that are missing are gone.
 func (s *Scheduler) SetServers(now time.Time, records []model.BackendServer) {
+	known := make(map[model.BackendServerID]bool, len(records))
 	for i := range records {
+		known[records[i].ID] = true
 		s.setServer(&records[i])
 	}
+	for _, v := range s.services {
+		for _, b := range slices.Clone(v.servers) {
+			if !known[b.record.ID] {
+				b.record.State = model.Gone
+				s.setServer(&b.record)
+			}
+		}
+	}
 	s.assignSlots()
 	s.decideAll(now)
 }
--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -413,3 +413,27 @@
 	g.Expect(d).To(HaveLen(1))
 	g.Expect(d[0].Server.ID).To(Equal(model.BackendServerID("e1")))
 }
+
+// Guards against a scheduler that keeps every server that there ever was, and against one that grants a
+// server which is no longer known.
+func TestServersThatAreNoLongerKnownAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	s := newFleet(2, 0)
+	s.Submit(start, want(1, "llm", 0, start))
+	running := granted(s.Take())[0]
+	other := record("e1", "llm")
+	if running.Server.ID == other.ID {
+		other = record("e0", "llm")
+	}
+	s.SetServers(start, []model.BackendServer{other})
+	for seq := uint64(2); seq < 6; seq++ {
+		s.Submit(start, want(seq, "llm", 0, start))
+	}
+	for _, d := range granted(s.Take()) {
+		g.Expect(d.Server.ID).To(Equal(other.ID))
+	}
+	finish(s, start.Add(time.Second), running)
+	s.SetServers(start, []model.BackendServer{record(string(running.Server.ID), "llm"), other})
+	s.Submit(start.Add(time.Second), want(9, "llm", 0, start.Add(time.Second)))
+	g.Expect(granted(s.Take())[0].Server.ID).To(Equal(running.Server.ID), "known again")
+}
--- a/internal/service/registry/service.go
+++ b/internal/service/registry/service.go
@@ -274,6 +274,7 @@
 			changed++
 		}
 	}
+	s.records.Forget(now)
 	if changed > 0 && !s.core {
 		s.log.Emit(event.RecordsReceived, from, len(records), changed)
 	}
