Tell a restarted core instance which servers have left

One that has restarted, with the others out of reach, took an announcement that was under way since before the removal for a new server and passed it on; the dispatcher granted it. Ruled out: withdrawn keys. Change: at a new connection an instance that takes requests sends the records of servers that leave or have gone within a minute. Test: TestARestartedCoreInstanceIsToldWhoHasLeft (before: nothing is sent).

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -106,10 +106,10 @@
 			return false
 		}
 		// Leaving is final, so it counts even if it arrives late.
-		e.record.State = model.Leaving
+		e.record.State, e.stateSince = model.Leaving, now
 		return true
 	}
-	if s.State != model.Gone && !r.claimAddress(&s) {
+	if s.State != model.Gone && !r.claimAddress(now, &s) {
 		return false
 	}
 	known := e != nil
@@ -167,13 +167,13 @@
 
 // claimAddress makes the server the owner of its address and marks an earlier owner as gone. It reports
 // false for a delayed announcement of an earlier owner that arrives after the next one has registered.
-func (r *Registry) claimAddress(s *model.BackendServer) bool {
+func (r *Registry) claimAddress(now time.Time, s *model.BackendServer) bool {
 	other := r.entries[r.addressOwners[s.Address]]
 	if other != nil && other.record.ID != s.ID {
 		if other.record.Incarnation > s.Incarnation {
 			return false
 		}
-		other.record.State = model.Gone
+		other.record.State, other.stateSince = model.Gone, now
 	}
 	r.addressOwners[s.Address] = s.ID
 	return true
@@ -195,15 +195,23 @@
 
 // MarkLeaving records that an incarnation of a server has said in an answer that it leaves. It returns the
 // record and reports whether it has changed.
-func (r *Registry) MarkLeaving(id model.BackendServerID, incarnation model.Incarnation) (model.BackendServer, bool) {
+func (r *Registry) MarkLeaving(now time.Time, id model.BackendServerID, incarnation model.Incarnation) (model.BackendServer, bool) {
 	e := r.entries[id]
 	if e == nil || e.record.Incarnation != incarnation || e.record.State >= model.Leaving {
 		return model.BackendServer{}, false
 	}
-	e.record.State = model.Leaving
+	e.record.State, e.stateSince = model.Leaving, now
 	return e.record, true
 }
 
+// Departed returns the records of servers that leave or have gone not long ago.
+func (r *Registry) Departed(now time.Time) []model.BackendServer {
+	return slices.DeleteFunc(r.All(), func(s model.BackendServer) bool {
+		age := now.Sub(r.entries[s.ID].stateSince)
+		return s.State != model.Leaving && (s.State != model.Gone || age >= goneRetention)
+	})
+}
+
 // Heard records that another instance has received an announcement of a server. It ignores a sequence that
 // is old or not plausible. It returns the record and sets revived if the server was suspect and is alive
 // again.
--- a/internal/decide/schedule/scheduler_test.go
+++ b/internal/decide/schedule/scheduler_test.go
@@ -437,3 +437,24 @@
 	s.Submit(start.Add(time.Second), want(9, "llm", 0, start.Add(time.Second)))
 	g.Expect(granted(s.Take())[0].Server.ID).To(Equal(running.Server.ID), "known again")
 }
+
+// Guards against running work that is given up or placed anew because its server, or the instance that
+// sent it, was silent for a while.
+func TestSilenceLeavesRunningWorkAlone(t *testing.T) {
+	g := NewWithT(t)
+	s := newFleet(1, 0)
+	s.Submit(start, want(1, "llm", 0, start))
+	running := granted(s.Take())[0]
+	silent := record("e0", "llm")
+	silent.State = model.Suspect
+	s.SetServers(start, []model.BackendServer{silent})
+	for tick := range 40 {
+		s.Tick(start.Add(time.Duration(tick) * 100 * time.Millisecond))
+	}
+	g.Expect(s.Take()).To(BeEmpty())
+	silent.State, silent.Sequence = model.Alive, 2
+	s.SetServers(start.Add(4*time.Second), []model.BackendServer{silent})
+	finish(s, start.Add(5*time.Second), running)
+	s.Submit(start.Add(5*time.Second), want(2, "llm", 0, start.Add(5*time.Second)))
+	g.Expect(granted(s.Take())).To(HaveLen(1))
+}
--- a/internal/service/registry/service.go
+++ b/internal/service/registry/service.go
@@ -78,9 +78,6 @@
 	unpublished map[model.BackendServerID]model.InstanceID
 	unanswered  []func(error)
 	lastPublish time.Time
-	// leaving holds the incarnations of servers that have told this instance that they leave. It tells
-	// each core instance that it connects to, which may have started since.
-	leaving map[model.BackendServerID]model.Incarnation
 }
 
 // Options are the settings of the service.
@@ -98,7 +95,6 @@
 		log: log, refused: log.RateLimit(event.RecordRefused), metrics: m, core: o.Core, ring: ring.New[message]("registry", ringCapacity, ring.Refuse),
 		records: registry.New(o.DetectsSilence), connected: make(map[model.InstanceID]bool),
 		heardServers: make(map[model.BackendServerID]port.AnnouncementRef), unpublished: make(map[model.BackendServerID]model.InstanceID),
-		leaving: make(map[model.BackendServerID]model.Incarnation),
 	}
 }
 
@@ -165,11 +161,11 @@
 	case departRequest:
 		s.handleDepart(now, m)
 	case leavingSaid:
-		s.handleLeaving(m)
+		s.handleLeaving(now, m)
 	case coreChanged:
 		s.coreInstances = m.instances
 	case port.PeerStatus:
-		s.handleStatus(m)
+		s.handleStatus(now, m)
 	case port.PeerMessage:
 		switch b := m.Body.(type) {
 		case port.ServersMessage:
@@ -232,9 +228,8 @@
 }
 
 // handleLeaving records that a server leaves and tells the core instances, which pass it on.
-func (s *Service) handleLeaving(m leavingSaid) {
-	s.leaving[m.id] = m.incarnation
-	record, changed := s.records.MarkLeaving(m.id, m.incarnation)
+func (s *Service) handleLeaving(now time.Time, m leavingSaid) {
+	record, changed := s.records.MarkLeaving(now, m.id, m.incarnation)
 	if !changed {
 		return
 	}
@@ -244,21 +239,6 @@
 	}
 }
 
-// leavingRecords returns the records of the servers that have told this instance that they leave. It
-// forgets those that are gone or have started again.
-func (s *Service) leavingRecords() []model.BackendServer {
-	var out []model.BackendServer
-	for id, incarnation := range s.leaving {
-		record, known := s.records.Get(id)
-		if !known || record.Incarnation != incarnation || record.State == model.Gone {
-			delete(s.leaving, id)
-			continue
-		}
-		out = append(out, record)
-	}
-	return out
-}
-
 // handleRecords merges valid records from another instance and publishes those that have changed.
 func (s *Service) handleRecords(now time.Time, from model.InstanceID, records []model.BackendServer) {
 	changed := 0
@@ -349,8 +329,10 @@
 	}
 }
 
-// handleStatus applies a connection change. After a reset a core instance sends all records.
-func (s *Service) handleStatus(st port.PeerStatus) {
+// handleStatus applies a connection change. After a reset a core instance sends all records. The other
+// instances send those of the servers that have left: a core instance that has started since would take a
+// late announcement of one for a new server.
+func (s *Service) handleStatus(now time.Time, st port.PeerStatus) {
 	id := st.Instance.ID
 	switch st.State {
 	case port.PeerDown:
@@ -359,7 +341,7 @@
 		s.connected[id] = true
 	case port.PeerReset:
 		s.connected[id] = true
-		records := s.leavingRecords()
+		records := s.records.Departed(now)
 		if s.core {
 			records = s.records.All()
 		}
--- a/internal/service/registry/service_test.go
+++ b/internal/service/registry/service_test.go
@@ -308,3 +308,25 @@
 		t.Errorf("the record says %v", record.State)
 	}
 }
+
+// Guards against a server that has left and is used again after a restart of a core instance, by an
+// announcement that was under way all the while: the other instances still know that it has left.
+func TestARestartedCoreInstanceIsToldWhoHasLeft(t *testing.T) {
+	entry, n := newEntry(t)
+	entry.handle(start, port.PeerMessage{From: "core1", Body: port.ServersMessage{Servers: []model.BackendServer{server(4, model.Gone)}}})
+	n.sent = nil
+	entry.handle(start, port.PeerStatus{Instance: model.Instance{ID: "core1"}, State: port.PeerReset})
+	if len(n.sent) != 1 {
+		t.Fatalf("sent %v on a new connection, want the record of the server that has left", n.sent)
+	}
+	core, c := newCore(t, "entry1")
+	core.handle(start, port.PeerMessage{From: "entry1", Body: n.sent[0].body})
+	c.takeReceivers()
+	core.handle(start.Add(publishInterval), announceRequest{server(3, model.Alive), func(error) {}})
+	if record, _ := core.records.Get("s"); record.State != model.Gone {
+		t.Errorf("the record says %v after a late announcement, want gone", record.State)
+	}
+	if got := c.takeReceivers(); len(got) != 0 {
+		t.Errorf("the late announcement was passed on to %v", got)
+	}
+}
