Send the records of servers from two core instances to each instance

Ruled out: the list of instances (one message with a difference per interval in the logs). Change: an instance subscribes to two core instances, chosen by a hash and kept as long as they can be reached (to all where there are up to three, as before); core instances go on sending each other all changes, passing on what differs in more than its sequence; entries publish records to their own services at most every 100 ms. Tests: choice and spread of the sources; subscription after silence, loss, reset and recovery; a newer sequence is not passed on (failed before).

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -82,12 +82,18 @@
 // Announce applies a server's own announcement. If changed is set, the caller must pass the returned
 // record on to the other instances.
 func (r *Registry) Announce(now time.Time, s model.BackendServer) (record model.BackendServer, changed bool) {
-	before, known := r.Get(s.ID)
-	changed = r.Merge(now, s)
-	record, _ = r.Get(s.ID)
+	record, changed = r.Receive(now, s)
 	if e := r.entries[s.ID]; e != nil && s.Incarnation == e.record.Incarnation {
 		e.lastHeard = now
 	}
+	return record, changed
+}
+
+// Receive applies a record of another instance. changed is set if more than the sequence has changed.
+func (r *Registry) Receive(now time.Time, s model.BackendServer) (record model.BackendServer, changed bool) {
+	before, known := r.Get(s.ID)
+	changed = r.Merge(now, s)
+	record, _ = r.Get(s.ID)
 	return record, changed && (!known || !equalIgnoringSequence(before, record))
 }
 
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -63,6 +63,8 @@
 		"An announcement of a backend server was invalid and changed nothing; at most 10 a minute.", "backend_server", "error", "left_out")
 	RecordsReceived = define(4109, slog.LevelInfo, "records.received",
 		"This instance received records of backend servers from a core instance, which logs each change.", "instance", "records", "changed")
+	RecordSources = define(4110, slog.LevelInfo, "records.sources",
+		"The core instances that send this instance the records of backend servers changed.", "instances")
 	RecordRefused = define(4108, slog.LevelWarn, "record.refused",
 		"A record of a backend server from another instance was invalid and changed nothing; at most 10 a minute.", "instance", "backend_server", "error", "left_out")
 )
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -282,6 +282,9 @@
 	DispatcherHeartbeatMessage struct{ Session uint64 }
 	// ServersMessage carries records of backend servers to RegistryName.
 	ServersMessage struct{ Servers []model.BackendServer }
+	// RecordsSubscriptionMessage begins or ends the sending of records from RegistryName of a core instance
+	// to the sender. The first ones are all records.
+	RecordsSubscriptionMessage struct{ On bool }
 	// AnnouncementsMessage lists the latest announcements that the sender has received from
 	// servers. It is sent to RegistryName of core instances.
 	AnnouncementsMessage struct{ Servers []AnnouncementRef }
--- a/internal/service/registry/service.go
+++ b/internal/service/registry/service.go
@@ -23,6 +23,8 @@
 	// other core instances the servers that have announced themselves to it. It is well below the
 	// time after which a server counts as silent.
 	tickInterval = 500 * time.Millisecond
+	// idleTickInterval is the tick interval of the other instances while no change is to be published.
+	idleTickInterval = 10 * time.Second
 	// publishInterval is the shortest time between two publications of changed records. It bounds the
 	// messages of a core instance to ten per second and instance, however many servers change at once.
 	publishInterval = 100 * time.Millisecond
@@ -70,6 +72,13 @@
 	records       *registry.Registry
 	connected     map[model.InstanceID]bool
 	coreInstances []model.InstanceID
+	// corePeers are the connected core instances. sources are those that send this instance the records,
+	// and subscribers the instances to which this core instance sends them; core instances send each other
+	// all changes.
+	corePeers   map[model.InstanceID]bool
+	silent      map[model.InstanceID]bool
+	sources     []model.InstanceID
+	subscribers map[model.InstanceID]bool
 	// heardServers are the servers that have announced themselves here since lastHeardSent.
 	heardServers  map[model.BackendServerID]port.AnnouncementRef
 	lastHeardSent time.Time
@@ -93,7 +102,8 @@
 func New(log *event.Log, m *metric.Set, o Options) *Service {
 	return &Service{
 		log: log, refused: log.RateLimit(event.RecordRefused), metrics: m, core: o.Core, ring: ring.New[message]("registry", ringCapacity, ring.Refuse),
-		records: registry.New(o.DetectsSilence), connected: make(map[model.InstanceID]bool),
+		records: registry.New(o.DetectsSilence), connected: make(map[model.InstanceID]bool), corePeers: make(map[model.InstanceID]bool),
+		silent: make(map[model.InstanceID]bool), subscribers: make(map[model.InstanceID]bool),
 		heardServers: make(map[model.BackendServerID]port.AnnouncementRef), unpublished: make(map[model.BackendServerID]model.InstanceID),
 	}
 }
@@ -121,10 +131,12 @@
 // Start implements kernel.Service.
 func (s *Service) Start(h *kernel.Host) error {
 	s.startedAt = time.Now()
-	loop := kernel.Loop[message]{Ring: s.ring, Handle: s.handle, OnTick: s.onTick}
-	if s.core {
-		loop.TickInterval, loop.IdleTickInterval = publishInterval, tickInterval
-		loop.Idle = func() bool { return len(s.unpublished) == 0 }
+	loop := kernel.Loop[message]{
+		Ring: s.ring, Handle: s.handle, TickInterval: publishInterval, OnTick: s.onTick,
+		Idle: func() bool { return len(s.unpublished) == 0 }, IdleTickInterval: tickInterval,
+	}
+	if !s.core {
+		loop.OnTick, loop.IdleTickInterval = s.onEntryTick, idleTickInterval
 	}
 	h.Go("registry", loop.Run, s.ring)
 	return nil
@@ -164,17 +176,20 @@
 		s.handleLeaving(now, m)
 	case coreChanged:
 		s.coreInstances = m.instances
+		s.updateSources()
 	case port.PeerStatus:
 		s.handleStatus(now, m)
 	case port.PeerMessage:
 		switch b := m.Body.(type) {
 		case port.ServersMessage:
 			s.handleRecords(now, m.From, b.Servers)
+		case port.RecordsSubscriptionMessage:
+			s.handleSubscription(m.From, b.On)
 		case port.AnnouncementsMessage:
 			s.handleAnnouncements(now, b.Servers)
 		}
 	}
-	if !s.core || now.Sub(s.lastPublish) >= publishInterval {
+	if now.Sub(s.lastPublish) >= publishInterval {
 		s.publish(now)
 	}
 }
@@ -235,7 +250,7 @@
 	}
 	s.recordChanged(record, "", "said that it leaves")
 	for id := range s.connected {
-		s.send(id, port.ServersMessage{Servers: []model.BackendServer{record}})
+		s.sendRecords(id, []model.BackendServer{record})
 	}
 }
 
@@ -248,8 +263,7 @@
 			s.refused.Emit(now, from, b.ID, err.Error())
 			continue
 		}
-		if s.records.Merge(now, b) {
-			record, _ := s.records.Get(b.ID)
+		if record, ok := s.records.Receive(now, b); ok {
 			s.recordChanged(record, from, "received from "+string(from))
 			changed++
 		}
@@ -311,6 +325,9 @@
 		}
 	}
 	for to := range s.connected {
+		if !s.corePeers[to] && !s.subscribers[to] {
+			continue
+		}
 		list := records
 		if sources[to] {
 			list = slices.DeleteFunc(slices.Clone(records), func(b model.BackendServer) bool { return s.unpublished[b.ID] == to })
@@ -321,35 +338,94 @@
 	}
 }
 
-// send queues a message. One that cannot be queued is lost; the receiver gets all records when the
-// connection is reset, and servers repeat their announcements.
-func (s *Service) send(to model.InstanceID, body any) {
-	if err := s.peers.Send(to, port.RegistryName, body); err != nil {
+// send queues a message and reports whether it was queued. One that cannot be queued is lost; the receiver
+// gets all records when the connection is reset, and servers repeat their announcements.
+func (s *Service) send(to model.InstanceID, body any) bool {
+	err := s.peers.Send(to, port.RegistryName, body)
+	if err != nil {
 		s.log.Emit(event.PeerMessageLost, to, port.RegistryName, err.Error())
 	}
+	return err == nil
+}
+
+// handleSubscription begins or ends the sending of records to an instance.
+func (s *Service) handleSubscription(from model.InstanceID, on bool) {
+	if !s.core || !on {
+		delete(s.subscribers, from)
+		return
+	}
+	s.subscribers[from] = true
+	s.sendRecords(from, s.records.All())
 }
 
-// handleStatus applies a connection change. After a reset a core instance sends all records. The other
-// instances send those of the servers that have left: a core instance that has started since would take a
-// late announcement of one for a new server.
+// handleStatus applies a connection change. After a reset a core instance sends all records to another
+// one and to a subscriber. The other instances send those of the servers that have left: a core instance
+// that has started since would take a late announcement of one for a new server.
 func (s *Service) handleStatus(now time.Time, st port.PeerStatus) {
 	id := st.Instance.ID
 	switch st.State {
 	case port.PeerDown:
 		delete(s.connected, id)
-	case port.PeerUp:
+	case port.PeerUp, port.PeerReset:
 		s.connected[id] = true
-	case port.PeerReset:
-		s.connected[id] = true
-		records := s.records.Departed(now)
-		if s.core {
-			records = s.records.All()
+		s.corePeers[id] = st.Instance.PeerAddress != "" || slices.Contains(s.coreInstances, id)
+	case port.PeerSilent, port.PeerRecovered:
+	}
+	s.silent[id] = st.State == port.PeerSilent
+	if st.State == port.PeerReset {
+		s.handleReset(now, id)
+	}
+	s.updateSources()
+}
+
+// handleReset sends what another instance may lack after a loss of messages.
+func (s *Service) handleReset(now time.Time, id model.InstanceID) {
+	switch {
+	case !s.core:
+		s.sendRecords(id, s.records.Departed(now))
+		// The core instance may have lost the subscription.
+		s.sources = slices.DeleteFunc(s.sources, func(o model.InstanceID) bool { return o == id })
+	case s.corePeers[id], s.subscribers[id]:
+		s.sendRecords(id, s.records.All())
+	}
+}
+
+// sendRecords sends records to an instance, if there are any.
+func (s *Service) sendRecords(to model.InstanceID, records []model.BackendServer) {
+	if len(records) > 0 {
+		s.send(to, port.ServersMessage{Servers: records})
+	}
+}
+
+// updateSources chooses the core instances that send this instance the records and tells those for which
+// that changes.
+func (s *Service) updateSources() {
+	if s.core {
+		return
+	}
+	var reachable []model.InstanceID
+	for id := range s.connected {
+		if !s.silent[id] && (s.corePeers[id] || slices.Contains(s.coreInstances, id)) {
+			reachable = append(reachable, id)
 		}
-		if len(records) > 0 {
-			s.send(id, port.ServersMessage{Servers: records})
+	}
+	slices.Sort(reachable)
+	self, _ := s.peers.Self()
+	chosen := registry.ChooseSources(self, s.sources, reachable)
+	if slices.Equal(chosen, s.sources) {
+		return
+	}
+	// A source that cannot be told is tried again with the next tick.
+	chosen = slices.DeleteFunc(chosen, func(id model.InstanceID) bool {
+		return !slices.Contains(s.sources, id) && !s.send(id, port.RecordsSubscriptionMessage{On: true})
+	})
+	for _, id := range s.sources {
+		if s.connected[id] && !slices.Contains(chosen, id) {
+			s.send(id, port.RecordsSubscriptionMessage{On: false})
 		}
-	case port.PeerSilent, port.PeerRecovered:
 	}
+	s.log.Emit(event.RecordSources, chosen)
+	s.sources = chosen
 }
 
 // corePeersConnected reports whether all other core instances are connected.
@@ -358,6 +434,13 @@
 	return !slices.ContainsFunc(s.coreInstances, func(id model.InstanceID) bool { return id != self && !s.connected[id] })
 }
 
+// onEntryTick publishes changed records to the subscribers within this instance, and chooses sources again
+// if some could not be told.
+func (s *Service) onEntryTick(now time.Time) {
+	s.publish(now)
+	s.updateSources()
+}
+
 // onTick publishes servers whose state has changed by silence, and sends the other core instances
 // the servers that have announced themselves since the last tick.
 func (s *Service) onTick(now time.Time) {
--- a/internal/service/registry/service_test.go
+++ b/internal/service/registry/service_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,11 +59,23 @@
 	s, n := New(log, metric.NewSet(), Options{Core: true, DetectsSilence: true}), &fakePeers{}
 	s.peers, s.startedAt = n, time.Now()
 	for _, id := range connected {
-		s.handle(start, port.PeerStatus{Instance: model.Instance{ID: id}, State: port.PeerReset})
+		connect(s, id)
 	}
 	return s, n
 }
 
+// connect opens a connection: to a core instance, whose id begins with "core", or to a subscriber.
+func connect(s *Service, id model.InstanceID) {
+	instance := model.Instance{ID: id}
+	if strings.HasPrefix(string(id), "core") {
+		instance.PeerAddress = string(id)
+	}
+	s.handle(start, port.PeerStatus{Instance: instance, State: port.PeerReset})
+	if instance.PeerAddress == "" {
+		s.handle(start, port.PeerMessage{From: id, Body: port.RecordsSubscriptionMessage{On: true}})
+	}
+}
+
 func server(sequence uint64, state model.MemberState) model.BackendServer {
 	return model.BackendServer{ID: "s", Incarnation: 5, Sequence: sequence, State: state, Address: "10.0.0.1:80", Domain: "z1", Slots: 4, Pools: []model.PoolID{"llm"}}
 }
@@ -112,9 +125,15 @@
 	s, n := newCore(t)
 	s.handle(start, announceRequest{server(1, model.Alive), func(error) {}})
 	n.takeReceivers()
+	connect(s, "entry1")
+	connect(s, "core2")
+	if got := n.takeReceivers(); !slices.Equal(got, []model.InstanceID{"core2", "entry1"}) {
+		t.Errorf("records were sent to %v, want entry1 and core2", got)
+	}
+	// A connection that is opened anew after a loss of messages gets them again.
 	s.handle(start, port.PeerStatus{Instance: model.Instance{ID: "entry1"}, State: port.PeerReset})
 	if got := n.takeReceivers(); !slices.Equal(got, []model.InstanceID{"entry1"}) {
-		t.Errorf("records were sent to %v, want entry1", got)
+		t.Errorf("records were sent to %v after a reset, want entry1", got)
 	}
 }
 
@@ -252,12 +271,84 @@
 	}
 	s, n := New(log, metric.NewSet(), Options{}), &fakePeers{}
 	s.peers, s.startedAt = n, start
-	s.handle(start, port.PeerStatus{Instance: model.Instance{ID: "core1"}, State: port.PeerReset})
+	connectCore(s, "core1", port.PeerReset)
 	s.handle(start, port.PeerMessage{From: "core1", Body: port.ServersMessage{Servers: []model.BackendServer{server(3, model.Alive)}}})
 	n.sent = nil
 	return s, n
 }
 
+// connectCore reports a state of the connection to a core instance.
+func connectCore(s *Service, id model.InstanceID, state port.PeerState) {
+	s.handle(start, port.PeerStatus{Instance: model.Instance{ID: id, PeerAddress: string(id)}, State: state})
+}
+
+// subscriptions returns the subscriptions that were sent, by receiver, and clears the recorded messages.
+func (n *fakePeers) subscriptions() map[model.InstanceID]bool {
+	out := make(map[model.InstanceID]bool)
+	for _, m := range n.sent {
+		if b, ok := m.body.(port.RecordsSubscriptionMessage); ok {
+			out[m.to] = b.On
+		}
+	}
+	n.sent = nil
+	return out
+}
+
+// Guards against records that reach an instance in a copy from each core instance, and against an instance
+// that gets none because its sources are lost, silent or have started anew.
+func TestAnInstanceSubscribesToTwoCoreInstances(t *testing.T) {
+	log, err := event.NewStream(io.Discard, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, n := New(log, metric.NewSet(), Options{}), &fakePeers{}
+	s.peers = n
+	for _, id := range []model.InstanceID{"core1", "core2", "core3"} {
+		connectCore(s, id, port.PeerReset)
+	}
+	if got := n.subscriptions(); len(got) != 3 {
+		t.Fatalf("subscriptions to 3 core instances: %v", got)
+	}
+	connectCore(s, "core4", port.PeerReset)
+	connectCore(s, "core5", port.PeerReset)
+	n.sent = nil
+	if len(s.sources) != 2 {
+		t.Fatalf("sources of 5 core instances: %v, want 2", s.sources)
+	}
+	first, second := s.sources[0], s.sources[1]
+	connectCore(s, first, port.PeerSilent)
+	if got := n.subscriptions(); len(s.sources) != 2 || slices.Contains(s.sources, first) || !slices.Contains(s.sources, second) || got[first] {
+		t.Errorf("sources %v after %s was silent (%v), want another one in its place", s.sources, first, got)
+	}
+	connectCore(s, first, port.PeerRecovered)
+	if got := n.subscriptions(); len(got) != 0 {
+		t.Errorf("subscriptions %v after the silent one is back, want none", got)
+	}
+	connectCore(s, second, port.PeerReset)
+	if got := n.subscriptions(); !got[second] {
+		t.Errorf("subscriptions %v after a reset, want one to %s again", got, second)
+	}
+	connectCore(s, second, port.PeerDown)
+	if slices.Contains(s.sources, second) || len(s.sources) != 2 {
+		t.Errorf("sources %v after %s was lost", s.sources, second)
+	}
+}
+
+// Guards against a record that goes around for ever, or to all instances, because its sequence alone is
+// newer: servers announce themselves all the time.
+func TestANewerSequenceAloneIsNotPassedOn(t *testing.T) {
+	s, n := newCore(t, "entry1", "core2", "core3")
+	s.handle(start, announceRequest{server(1, model.Alive), func(error) {}})
+	n.takeReceivers()
+	s.handle(start.Add(publishInterval), port.PeerMessage{From: "core2", Body: port.ServersMessage{Servers: []model.BackendServer{server(9, model.Alive)}}})
+	if got := n.takeReceivers(); len(got) != 0 {
+		t.Errorf("passed on to %v", got)
+	}
+	if record, _ := s.records.Get("s"); record.Sequence != 9 {
+		t.Errorf("sequence %d, want 9", record.Sequence)
+	}
+}
+
 // Guards against a server that has told an instance that it leaves and stays in use elsewhere until it
 // announces that, or that comes back by its own later announcement or by a restarted core instance.
 func TestTheWordThatAServerLeavesSpreads(t *testing.T) {
@@ -278,7 +369,7 @@
 	if record, _ := entry.records.Get("s"); record.State != model.Leaving {
 		t.Errorf("the record says %v after a later announcement", record.State)
 	}
-	entry.handle(start, port.PeerStatus{Instance: model.Instance{ID: "core2"}, State: port.PeerReset})
+	connectCore(entry, "core2", port.PeerReset)
 	if got := n.takeReceivers(); !slices.Equal(got, []model.InstanceID{"core2"}) {
 		t.Errorf("a new connection was sent to %v, want the word to core2", got)
 	}
@@ -315,9 +406,9 @@
 	entry, n := newEntry(t)
 	entry.handle(start, port.PeerMessage{From: "core1", Body: port.ServersMessage{Servers: []model.BackendServer{server(4, model.Gone)}}})
 	n.sent = nil
-	entry.handle(start, port.PeerStatus{Instance: model.Instance{ID: "core1"}, State: port.PeerReset})
-	if len(n.sent) != 1 {
-		t.Fatalf("sent %v on a new connection, want the record of the server that has left", n.sent)
+	connectCore(entry, "core1", port.PeerReset)
+	if len(n.sent) != 2 {
+		t.Fatalf("sent %v on a new connection, want the record of the server that has left and a subscription", n.sent)
 	}
 	core, c := newCore(t, "entry1")
 	core.handle(start, port.PeerMessage{From: "entry1", Body: n.sent[0].body})
--- a/internal/wire/routedwire/codec.go
+++ b/internal/wire/routedwire/codec.go
@@ -31,6 +31,8 @@
 		env.Body = &pb.Envelope_Withdraw{Withdraw: &pb.Withdraw{Session: m.Session, Id: encodeID(m.ID)}}
 	case port.OutcomeMessage:
 		env.Body = &pb.Envelope_Report{Report: encodeReport(m)}
+	case port.RecordsSubscriptionMessage:
+		env.Body = &pb.Envelope_RecordsSubscription{RecordsSubscription: &pb.RecordsSubscription{On: m.On}}
 	case port.ServerNoticeMessage:
 		env.Body = &pb.Envelope_ServerNotice{ServerNotice: &pb.ServerNotice{
 			Session: m.Session, Server: string(m.Notice.Server), Incarnation: uint64(m.Notice.Incarnation),
@@ -165,6 +167,8 @@
 		return port.WithdrawSubmitMessage{Session: b.Withdraw.GetSession(), ID: decodeID(b.Withdraw.GetId())}, nil
 	case *pb.Envelope_Report:
 		return decodeReport(b.Report)
+	case *pb.Envelope_RecordsSubscription:
+		return port.RecordsSubscriptionMessage{On: b.RecordsSubscription.GetOn()}, nil
 	case *pb.Envelope_ServerNotice:
 		return decodeNotice(b.ServerNotice)
 	case *pb.Envelope_Joined:
--- a/internal/wire/routedwire/codec_test.go
+++ b/internal/wire/routedwire/codec_test.go
@@ -41,6 +41,7 @@
 		port.WithdrawSubmitMessage{Session: 1, ID: id},
 		port.OutcomeMessage{Session: 1, Report: schedule.Report{
 			ID: id, Server: "s", Outcome: schedule.Finished, First: time.Millisecond, Rest: time.Second, Events: 8, Refund: true}},
+		port.RecordsSubscriptionMessage{On: true},
 		port.ServerNoticeMessage{Session: 1, Notice: model.ServerNotice{Server: "s", Incarnation: 5, Leaving: true, HoldFor: time.Second}},
 		port.JoinedMessage{Session: 1},
 		port.DecisionMessage{Session: 1, Decision: schedule.Decision{ID: id, Server: server}},
