Cut the cost of a changed record at instances that take requests

Change: the registry keeps its ids in order; the scheduler passes over records that say nothing new; an instance that takes requests, which uses its own records only without a dispatcher, publishes at most every 400 ms. A source whose connection is reset is asked again and stays a source: the test for it had passed by the choice of the hash, and failed after it changed.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -40,6 +39,8 @@
 // Registry holds the records of the backend servers as known to one instance.
 type Registry struct {
 	entries map[model.BackendServerID]*entry
+	// order holds the ids of entries, sorted.
+	order []model.BackendServerID
 	// addressOwners maps an address to the server that uses it.
 	addressOwners map[string]model.BackendServerID
 	// detectsSilence is set on instances that receive announcements and can tell that one is missing.
@@ -71,14 +72,33 @@
 
 // All returns all records sorted by id, including those of servers that are gone.
 func (r *Registry) All() []model.BackendServer {
-	out := make([]model.BackendServer, 0, len(r.entries))
-	for _, e := range r.entries {
-		out = append(out, e.record)
+	out := make([]model.BackendServer, 0, len(r.order))
+	for _, id := range r.order {
+		out = append(out, r.entries[id].record)
 	}
-	slices.SortFunc(out, func(a, b model.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
+// add adds an empty entry for a new server.
+func (r *Registry) add(now time.Time, id model.BackendServerID) *entry {
+	e := &entry{lastHeard: now}
+	r.entries[id] = e
+	at, _ := slices.BinarySearch(r.order, id)
+	r.order = slices.Insert(r.order, at, id)
+	return e
+}
+
+// remove removes the entry of a server.
+func (r *Registry) remove(id model.BackendServerID, e *entry) {
+	if r.addressOwners[e.record.Address] == id {
+		delete(r.addressOwners, e.record.Address)
+	}
+	delete(r.entries, id)
+	if at, found := slices.BinarySearch(r.order, id); found {
+		r.order = slices.Delete(r.order, at, at+1)
+	}
+}
+
 // Announce applies a server's own announcement. If changed is set, the caller must pass the returned
 // record on to the other instances.
 func (r *Registry) Announce(now time.Time, s model.BackendServer) (record model.BackendServer, changed bool) {
@@ -120,8 +140,7 @@
 	}
 	known := e != nil
 	if !known {
-		e = &entry{lastHeard: now}
-		r.entries[s.ID] = e
+		e = r.add(now, s.ID)
 	}
 	if !known || e.record.State != s.State || e.record.Incarnation != s.Incarnation {
 		e.stateSince = now
@@ -242,10 +261,7 @@
 		if r.detectsSilence || e.record.State == model.Alive || now.Sub(e.stateSince) < staleRetention {
 			continue
 		}
-		if r.addressOwners[e.record.Address] == id {
-			delete(r.addressOwners, e.record.Address)
-		}
-		delete(r.entries, id)
+		r.remove(id, e)
 	}
 }
 
@@ -273,10 +289,7 @@
 		age := now.Sub(e.lastHeard)
 		switch {
 		case e.record.State == model.Gone && age >= goneRetention, r.detectsSilence && e.record.State != model.Gone && age >= removeSilentAfter:
-			if r.addressOwners[e.record.Address] == id {
-				delete(r.addressOwners, e.record.Address)
-			}
-			delete(r.entries, id)
+			r.remove(id, e)
 		case e.record.State == model.Alive && age >= suspectAfter:
 			silent++
 		case e.record.State == model.Alive:
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -178,7 +178,7 @@
 		v := s.service(id)
 		b := v.byID[record.ID]
 		switch {
-		case b == nil && record.State == model.Gone:
+		case b == nil && record.State == model.Gone, b != nil && b.knows(record):
 			continue
 		case b == nil:
 			b = v.addServer(record.ID)
--- a/internal/decide/schedule/server.go
+++ b/internal/decide/schedule/server.go
@@ -105,6 +105,12 @@
 	return max(s.record.Slots, 1)
 }
 
+// knows reports whether a record says nothing new about a server that is not gone. A record with the same
+// sequence may differ in its state, which other instances judge.
+func (s *server) knows(r *model.BackendServer) bool {
+	return r.State != model.Gone && s.record.State == r.State && s.record.Incarnation == r.Incarnation && s.record.Sequence == r.Sequence
+}
+
 // usable reports whether the server may be granted requests at all.
 func (s *server) usable(now time.Time) bool {
 	return s.record.State == model.Alive && !s.absent && !now.Before(s.pausedUntil) &&
--- a/internal/service/registry/service.go
+++ b/internal/service/registry/service.go
@@ -25,6 +25,9 @@
 	tickInterval = 500 * time.Millisecond
 	// idleTickInterval is the tick interval of the other instances while no change is to be published.
 	idleTickInterval = 10 * time.Second
+	// entryPublishInterval is the shortest time between two publications at an instance that takes requests.
+	// It uses its own records only without a dispatcher, and each publication costs a pass over all of them.
+	entryPublishInterval = 400 * time.Millisecond
 	// publishInterval is the shortest time between two publications of changed records. It bounds the
 	// messages of a core instance to ten per second and instance, however many servers change at once.
 	publishInterval = 100 * time.Millisecond
@@ -132,7 +135,7 @@
 func (s *Service) Start(h *kernel.Host) error {
 	s.startedAt = time.Now()
 	loop := kernel.Loop[message]{
-		Ring: s.ring, Handle: s.handle, TickInterval: publishInterval, OnTick: s.onTick,
+		Ring: s.ring, Handle: s.handle, TickInterval: s.publishEvery(), OnTick: s.onTick,
 		Idle: func() bool { return len(s.unpublished) == 0 }, IdleTickInterval: tickInterval,
 	}
 	if !s.core {
@@ -189,7 +192,7 @@
 			s.handleAnnouncements(now, b.Servers)
 		}
 	}
-	if now.Sub(s.lastPublish) >= publishInterval {
+	if now.Sub(s.lastPublish) >= s.publishEvery() {
 		s.publish(now)
 	}
 }
@@ -291,6 +294,14 @@
 	}
 }
 
+// publishEvery returns the shortest time between two publications.
+func (s *Service) publishEvery() time.Duration {
+	if s.core {
+		return publishInterval
+	}
+	return entryPublishInterval
+}
+
 // publish passes all records to the subscribers if some have changed, and answers the servers that wait
 // for it. A core instance first sends the changed ones to the connected instances, but not back to the
 // instance that they came from.
@@ -384,7 +395,9 @@
 	case !s.core:
 		s.sendRecords(id, s.records.Departed(now))
 		// The core instance may have lost the subscription.
-		s.sources = slices.DeleteFunc(s.sources, func(o model.InstanceID) bool { return o == id })
+		if at := slices.Index(s.sources, id); at >= 0 && !s.send(id, port.RecordsSubscriptionMessage{On: true}) {
+			s.sources = slices.Delete(s.sources, at, at+1)
+		}
 	case s.corePeers[id], s.subscribers[id]:
 		s.sendRecords(id, s.records.All())
 	}
