--- a/internal/decide/schedule/doc.go
+++ b/internal/decide/schedule/doc.go
@@ -10,8 +10,9 @@
 // Requests are ordered by the rank of their route. Within a rank, requests that can still start on
 // time go before late ones, and each of the two groups is ordered by deadline, with long requests
 // placed up to about two seconds later unless their size class is underserved. A more urgent rank
-// therefore never queues behind a less urgent one, and within a rank the order of arrival bounds
-// every wait. A request that only some servers can start or finish in time waits for one of them
+// therefore never queues behind a less urgent one, but for the few slots of a rank whose served share
+// has fallen far below that of all requests; and within a rank the order of arrival bounds every
+// wait. A request that only some servers can start or finish in time waits for one of them
 // without blocking the requests behind it. It is denied once the work ahead of it takes longer than
 // it may wait, or after a third of its total time, while its caller still has time to retry.
 //
