--- a/internal/service/httpbackend/call_test.go
+++ b/internal/service/httpbackend/call_test.go
@@ -33,7 +33,10 @@
 )
 
 // dialect is a minimal port.Dialect with the header names that the scripted servers use.
-type dialect struct{}
+type dialect struct {
+	// onAnswer, if set, is called when the head of an answer has been read.
+	onAnswer func()
+}
 
 func (dialect) Name() string                    { return port.DialectName }
 func (dialect) Needs() []string                 { return nil }
@@ -43,7 +46,10 @@
 func (dialect) CallHeader(o *port.HTTPOutbound, _ time.Duration) []model.HeaderField {
 	return []model.HeaderField{{Name: "Attempt", Value: o.Attempt}, {Name: "After", Value: o.LastEvent}}
 }
-func (dialect) ReadAnswer(status int, header func(string) string) port.AnswerMetadata {
+func (d dialect) ReadAnswer(status int, header func(string) string) port.AnswerMetadata {
+	if d.onAnswer != nil {
+		d.onAnswer()
+	}
 	return port.AnswerMetadata{
 		Attempt: header("Attempt"), NotRun: header("Not-Run") != "", Absent: status == http.StatusMisdirectedRequest,
 		ClaimsNotRun: status == http.StatusServiceUnavailable, Leaving: header("Leaving") != "", HoldFor: holdFor(header("Hold")),
@@ -116,12 +122,14 @@
 }
 
 // start runs the service in a kernel of its own.
-func start(t *testing.T) *backend {
+func start(t *testing.T) *backend { return startWith(t, dialect{}) }
+
+func startWith(t *testing.T, d dialect) *backend {
 	t.Helper()
 	b := &backend{Service: httpbackend.New(metric.NewSet(), httpbackend.Options{MaxEventBytes: maxEventBytes}), events: make(chan relay.CallEvent, 100), notices: make(chan model.ServerNotice, 100)}
 	b.AttachCalls(func(e relay.CallEvent) { b.events <- e }, func(n model.ServerNotice) { b.notices <- n })
 	k := kernel.New(func(err error) { t.Error(err) })
-	for _, s := range []kernel.Service{dialect{}, b.Service} {
+	for _, s := range []kernel.Service{d, b.Service} {
 		if err := k.Register(s); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/service/httpbackend/notice_test.go
+++ b/internal/service/httpbackend/notice_test.go
@@ -46,10 +46,9 @@
 // Guards against the word of a leaving server that counts only at the end of its stream.
 func TestTheWordOfAServerCountsAtTheHeadOfItsStream(t *testing.T) {
 	g := NewWithT(t)
-	finish := make(chan struct{})
 	s := serve(t, func(w net.Conn, _ *http.Request, _ int) bool {
 		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt: 1\r\nLeaving: 1\r\nContent-Type: text/event-stream\r\n\r\n")
-		<-finish
+		awaitClose(w)
 		return false
 	})
 	b := start(t)
@@ -60,8 +59,7 @@
 		Events: ring.New[port.RoutedEvent]("answer", 1, ring.Block),
 	})
 	g.Eventually(b.notices, waitLimit).Should(Receive(HaveField("Leaving", true)))
-	close(finish)
-	g.Eventually(b.events, waitLimit).Should(Receive())
+	g.Expect(b.events).To(BeEmpty(), "the stream has not ended")
 }
 
 // Guards against a granted request that is sent although its server has meanwhile said that it wants none:
@@ -88,26 +86,36 @@
 	}
 }
 
-// Guards against the word of a server that is lost because the caller has left in the meantime.
+// awaitClose waits until the other side closes the connection.
+func awaitClose(w net.Conn) { _, _ = w.Read(make([]byte, 1)) }
+
+// Guards against the word of a server that is lost because its caller leaves while the answer is read.
 func TestTheWordOfAServerCountsAfterTheCallerHasLeft(t *testing.T) {
 	g := NewWithT(t)
-	cancelled := make(chan struct{})
+	closed := make(chan struct{})
 	s := serve(t, func(w net.Conn, _ *http.Request, _ int) bool {
-		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt: 0\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n")
-		<-cancelled
+		reply(w, "1", "Leaving: 1\r\n", "ok")
+		awaitClose(w)
+		close(closed)
 		return false
 	})
-	b := start(t)
-	defer b.stop()
 	o := port.HTTPOutbound{
 		ID: model.RequestID{Instance: "i", Seq: 1}, Send: 1, Attempt: "1", Server: model.BackendServer{ID: "b", Address: s.listener.Addr().String()},
 		Call: &model.HTTPCall{Method: "GET", Target: "/", Host: "h"}, Until: clock.Boot().Add(waitLimit),
 		Events: ring.New[port.RoutedEvent]("answer", 1, ring.Block),
 	}
+	var b *backend
+	b = startWith(t, dialect{onAnswer: func() {
+		// The call is cancelled between the head and the word in it.
+		b.CancelCall(o.ID, o.Send)
+		select {
+		case <-closed:
+		case <-time.After(waitLimit):
+			t.Error("the cancelled call keeps its connection")
+		}
+	}})
+	defer b.stop()
 	b.OpenCall(o)
-	<-s.requests
-	b.CancelCall(o.ID, o.Send)
 	g.Eventually(b.notices, waitLimit).Should(Receive(HaveField("Leaving", true)))
-	close(cancelled)
 	g.Expect(b.events).To(BeEmpty())
 }
--- a/internal/service/httpbackend/service.go
+++ b/internal/service/httpbackend/service.go
@@ -102,15 +102,26 @@
 	s.host = h
 	h.Go("backend.http", func(ctx context.Context, d *kernel.Duty) {
 		kernel.Loop[message]{Ring: s.ring, TickInterval: idleCheckInterval, Handle: s.handle, OnTick: s.closeExpired, Now: clock.Boot}.Run(ctx, d)
-		for _, list := range s.idle {
-			for _, c := range list {
-				c.close()
-			}
-		}
+		s.closeAll()
 	}, s.ring)
 	return nil
 }
 
+// closeAll closes the idle connections, and those of calls whose end the duty has not handled. The ring
+// takes no message any more.
+func (s *Service) closeAll() {
+	for m, ok := s.ring.TryGet(); ok; m, ok = s.ring.TryGet() {
+		if ended, isEnd := m.(callEnded); isEnd && ended.conn != nil {
+			ended.conn.close()
+		}
+	}
+	for _, list := range s.idle {
+		for _, c := range list {
+			c.close()
+		}
+	}
+}
+
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.ring.Close()
