Log the shared parts of prompts and whether a server ended with a lost call

Cause: not in this commit. The logs could not tell the hypotheses apart: they lacked the parts of a request's prompt, and whether an answer was lost because the engine had ended or because it only reset a connection. No decision changes.

--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -202,8 +202,8 @@
 	}
 	return fx.Provide(
 		asService(func(l *event.Log) *allocate.Service { return allocate.New(l, s.ID, s.Tolerance) }),
-		asService(func(m *metric.Set) *httpbackend.Service {
-			return httpbackend.New(m, httpbackend.Options{MaxEventBytes: s.maxEventBytes()})
+		asService(func(l *event.Log, m *metric.Set) *httpbackend.Service {
+			return httpbackend.New(l, m, httpbackend.Options{MaxEventBytes: s.maxEventBytes()})
 		}),
 		asService(func(l *event.Log, m *metric.Set) *relay.Service {
 			return relay.New(l, m, relay.Options{Domain: s.Domain, ConfigLease: s.ConfigLease, Retries: s.Retries})
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -9,8 +9,8 @@
 		"An instance refused a request; run_state says whether it ran, revision and age are those of the configuration used.",
 		"request", "attempt", "code", "run_state", "detail", "revision", "age")
 	RoutedSent = define(1102, slog.LevelInfo, "routed.sent",
-		"An instance sends a request to a backend server; alone is true if it chose the server without the dispatcher.",
-		"request", "attempt", "send", "backend_server", "address", "sequence", "waited", "left", "alone", "revision")
+		"An instance sends a request to a backend server; alone is true if it chose the server without the dispatcher, parts are the parts of the prompt that other requests may share.",
+		"request", "attempt", "send", "backend_server", "address", "sequence", "waited", "left", "alone", "revision", "parts")
 	RoutedAgain = define(1103, slog.LevelWarn, "routed.again",
 		"A call returned no answer and the request is retried at another backend server.",
 		"request", "attempt", "backend_server", "outcome", "cause")
@@ -28,6 +28,9 @@
 	ServerHoldInvalid = define(1109, slog.LevelWarn, "server.hold_invalid",
 		"The time for which a backend server wants no request could not be read or is out of range; hold is used instead; at most 10 a minute.",
 		"backend_server", "text", "hold", "left_out")
+	CallLost = define(1110, slog.LevelWarn, "call.lost",
+		"A call with shared prompt parts was lost before the first event of its answer. server is what a new connection showed: ended (it is refused), open, or unreachable.",
+		"request", "backend_server", "incarnation", "after", "server", "parts", "cause")
 	LogDropped = define(1106, slog.LevelWarn, "log.dropped",
 		"Log lines were dropped because they could not be written as fast as they were produced.", "lines")
 	ScheduleGranted = define(2101, slog.LevelInfo, "schedule.granted",
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -123,6 +123,8 @@
 	// Prompt, Output and Expected are numbers of tokens; see schedule.Request.
 	Prompt, Output, Expected int
 	Model                    string
+	// Parts are the parts of the prompt that other requests may share, in order.
+	Parts []model.PromptPart
 	// Events receives the answer. The front end is its only consumer. If it is closed without a
 	// final event, the answer is incomplete.
 	Events *ring.Ring[RoutedEvent]
@@ -180,6 +182,8 @@
 	Server  model.BackendServer
 	Team    model.TeamID
 	Call    *model.HTTPCall
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []model.PromptPart
 	// Until is the deadline of the call on clock.Boot.
 	Until time.Time
 	// Stream is set if the answer may be an event stream.
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -12,6 +12,7 @@
 	"briaryard/internal/clock"
 	"briaryard/internal/decide/hold"
 	"briaryard/internal/decide/relay"
+	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/httpmsg"
 	"briaryard/internal/kernel"
@@ -47,6 +48,7 @@
 	sink    func(relay.CallEvent)
 	notify  func(model.ServerNotice)
 	barred  func(*model.BackendServer) (hold.Bar, bool)
+	log     *event.Log
 	metrics *metric.Set
 	host    *kernel.Host
 	// maxEventBytes bounds one event of a stream.
@@ -59,6 +61,8 @@
 	firstEventAt time.Time
 	eventCount   int
 	lastEventID  string
+	// lossCause is why the call was lost before the first event of its answer, if it was.
+	lossCause error
 	// writeResult receives the result of writing a long body. It is nil for a short request.
 	writeResult chan error
 }
@@ -71,6 +75,7 @@
 	}
 	defer context.AfterFunc(ctx, c.conn.close)()
 	idle := c.exchange(ctx)
+	c.checkAfterLoss(ctx)
 	if ctx.Err() != nil || idle <= 0 || !c.requestWritten() || c.conn.reader.Buffered() > 0 {
 		c.conn.close()
 		return nil
@@ -101,6 +106,9 @@
 
 // sendFinal sends the last event of the call.
 func (c *call) sendFinal(ctx context.Context, kind relay.CallKind, cause error) {
+	if kind == relay.CallBroken && c.firstEventAt.IsZero() {
+		c.lossCause = cause
+	}
 	c.sendEvent(ctx, relay.CallEvent{Kind: kind, Cause: cause})
 }
 
--- a/internal/service/httpbackend/call_test.go
+++ b/internal/service/httpbackend/call_test.go
@@ -17,6 +17,7 @@
 
 	"briaryard/internal/clock"
 	"briaryard/internal/decide/relay"
+	"briaryard/internal/event"
 	"briaryard/internal/kernel"
 	"briaryard/internal/metric"
 	"briaryard/internal/model"
@@ -126,7 +127,16 @@
 
 func startWith(t *testing.T, d dialect) *backend {
 	t.Helper()
-	b := &backend{Service: httpbackend.New(metric.NewSet(), httpbackend.Options{MaxEventBytes: maxEventBytes}), events: make(chan relay.CallEvent, 100), notices: make(chan model.ServerNotice, 100)}
+	return startLogged(t, d, io.Discard)
+}
+
+func startLogged(t *testing.T, d dialect, out io.Writer) *backend {
+	t.Helper()
+	log, err := event.NewStream(out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{Service: httpbackend.New(log, metric.NewSet(), httpbackend.Options{MaxEventBytes: maxEventBytes}), events: make(chan relay.CallEvent, 100), notices: make(chan model.ServerNotice, 100)}
 	b.AttachCalls(func(e relay.CallEvent) { b.events <- e }, func(n model.ServerNotice) { b.notices <- n })
 	k := kernel.New(func(err error) { t.Error(err) })
 	for _, s := range []kernel.Service{d, b.Service} {
--- a/internal/service/httpbackend/service.go
+++ b/internal/service/httpbackend/service.go
@@ -8,6 +8,7 @@
 	"briaryard/internal/clock"
 	"briaryard/internal/decide/hold"
 	"briaryard/internal/decide/relay"
+	"briaryard/internal/event"
 	"briaryard/internal/kernel"
 	"briaryard/internal/metric"
 	"briaryard/internal/model"
@@ -62,6 +63,7 @@
 // Service implements port.HTTPBackend. It runs the calls and keeps the idle connections.
 type Service struct {
 	options Options
+	log     *event.Log
 	metrics *metric.Set
 	dialect port.Dialect
 	sink    func(relay.CallEvent)
@@ -79,9 +81,9 @@
 }
 
 // New returns the service.
-func New(m *metric.Set, o Options) *Service {
+func New(log *event.Log, m *metric.Set, o Options) *Service {
 	return &Service{
-		options: o, metrics: m, ring: ring.New[message]("backend.http", ringCapacity, ring.Block),
+		options: o, log: log, metrics: m, ring: ring.New[message]("backend.http", ringCapacity, ring.Block),
 		calls: make(map[callKey]context.CancelFunc), idle: make(map[model.BackendServerID][]*conn), barTable: hold.NewTable(),
 	}
 }
@@ -167,7 +169,7 @@
 	key := callKey{out.ID, out.Send}
 	s.calls[key] = stop
 	c := &call{
-		out: out, dialect: s.dialect, sink: s.sink, notify: s.passOn, barred: s.barred, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
+		out: out, dialect: s.dialect, sink: s.sink, notify: s.passOn, barred: s.barred, log: s.log, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
 		startedAt: now, host: s.host, maxEventBytes: s.options.MaxEventBytes,
 	}
 	s.host.Go("backend.http.call", func(host context.Context, _ *kernel.Duty) {
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -292,9 +292,9 @@
 func (s *Service) openCall(now time.Time, e relay.StartCall) {
 	sub, r := s.submissions[e.ID], s.requests[e.ID]
 	s.log.Emit(event.RoutedSent, e.ID.String(), sub.Attempt, e.Send, e.Server.ID, e.Server.Address, e.Server.Sequence,
-		e.Waited, e.Until.Sub(now), e.WithoutDispatcher, r.Revision)
+		e.Waited, e.Until.Sub(now), e.WithoutDispatcher, r.Revision, sub.Parts)
 	s.backend.OpenCall(port.HTTPOutbound{
-		ID: e.ID, Send: e.Send, Attempt: sub.Attempt, Server: e.Server, Team: r.Team, Call: &sub.Call, Until: e.Until,
+		ID: e.ID, Send: e.Send, Attempt: sub.Attempt, Server: e.Server, Team: r.Team, Call: &sub.Call, Parts: sub.Parts, Until: e.Until,
 		Stream: r.Route.Kind == model.KindStream, Resume: e.Resume, LastEvent: e.LastEvent, Events: sub.Events,
 	})
 }
