Hold back requests with a part of the prompt that ends servers

Cause: one part of a prompt ends each engine that begins to answer on it. No instance remembered this, and none was told what another had seen: each request with the part was sent to the next engine, and on routes that allow it once more after the answer was lost. Class of fault: a failure that follows the request, treated as one of the server. Elsewhere: a route that may be repeated did the same by its second try; the check before a repeat is the same one now. Change: decide/quarantine collects which servers ended while a request with a part had no event yet; a begun answer clears its parts. Three ends apart from each other condemn a part. Requests that have all the parts which may be the cause are refused as not run, on arrival, while they wait, after a grant and before the first byte. The service quarantine shares the evidence between the instances without a leader. Why it works: an answer on the deadly part never begins, so that nothing clears it, while its neighbours are cleared by their own requests.

--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -28,6 +28,7 @@
 	"briaryard/internal/service/logwriter"
 	"briaryard/internal/service/peers"
 	"briaryard/internal/service/presence"
+	"briaryard/internal/service/quarantine"
 	"briaryard/internal/service/registry"
 	"briaryard/internal/service/relay"
 	"briaryard/internal/service/roster"
@@ -175,6 +176,9 @@
 		asService(func(l *event.Log, m *metric.Set) *registry.Service {
 			return registry.New(l, m, registry.Options{Core: s.Role == CoreRole, DetectsSilence: s.Member()})
 		}),
+		asService(func(l *event.Log, m *metric.Set) *quarantine.Service {
+			return quarantine.New(l, m, s.Role == CoreRole)
+		}),
 		asService(func(l *event.Log) *roster.Service { return roster.New(l, s.Role == CoreRole) }),
 	)
 }
--- /dev/null
+++ b/internal/decide/quarantine/ledger_test.go
@@ -0,0 +1,231 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"briaryard/internal/decide/quarantine"
+	"briaryard/internal/model"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func parts(ids ...model.PromptPart) []model.PromptPart { return ids }
+
+// crash is the sighting of the end of a server during a request with the given parts.
+func crash(server int, ids ...model.PromptPart) quarantine.Sighting {
+	return quarantine.Sighting{Parts: ids, Crash: quarantine.Crash{Server: model.BackendServerID(fmt.Sprint("s", server)), Incarnation: 1}}
+}
+
+func began(ids ...model.PromptPart) quarantine.Sighting { return quarantine.Sighting{Parts: ids} }
+
+func held(l *quarantine.Ledger, ids ...model.PromptPart) bool {
+	_, ok := l.View().Held(ids)
+	return ok
+}
+
+// Guards against a part that ends one server after the other and is never held back.
+func TestAPartIsHeldBackAfterThreeEnds(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 3 {
+		g.Expect(held(l, "f", "dead")).To(BeFalse(), "after %d ends", n)
+		l.Observe(at(time.Duration(n)*time.Second), crash(n, "f", "dead"))
+	}
+	g.Expect(held(l, "f", "dead")).To(BeTrue())
+	verdict, ok := l.View().Check(at(3*time.Second), parts("f", "dead"), 0)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(verdict.Strikes).To(Equal(3))
+	g.Expect(verdict.Wait).To(Equal(59 * time.Second))
+}
+
+// Guards against refusing sound requests that share only the first part with the deadly ones: the parts are
+// always seen together, and few requests have the first one alone.
+func TestTheNeighbourOfADeadlyPartIsNotHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 4 {
+		l.Observe(at(time.Duration(n)*time.Second), crash(n, "first", "dead"))
+	}
+	g.Expect(held(l, "first", "dead")).To(BeTrue())
+	g.Expect(held(l, "first")).To(BeFalse(), "before any answer shows that it is sound")
+	g.Expect(held(l, "first", "other")).To(BeFalse())
+	l.Observe(at(5*time.Second), began("first"))
+	g.Expect(held(l, "first", "dead")).To(BeTrue())
+	g.Expect(held(l, "second", "dead")).To(BeTrue(), "the deadly part alone is left")
+	// Requests that were on their way say nothing more about the neighbour.
+	l.Observe(at(6*time.Second), crash(9, "first", "dead"))
+	r, _ := l.Get("first")
+	g.Expect(r.Strikes).To(BeEmpty())
+}
+
+// Guards against a deadly part that comes with a new neighbour each time, and against one that is held back
+// only beside its first neighbour for good.
+func TestADeadlyPartIsToldFromSeveralNeighbours(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 3 {
+		l.Observe(at(time.Duration(n)*time.Second), crash(n, "a", "dead"))
+	}
+	g.Expect(held(l, "b", "dead")).To(BeFalse(), "either may be the cause")
+	l.Observe(at(4*time.Second), crash(5, "b", "dead"))
+	g.Expect(held(l, "b", "dead")).To(BeTrue())
+	g.Expect(held(l, "c", "dead")).To(BeTrue())
+	g.Expect(held(l, "a")).To(BeFalse())
+	g.Expect(held(l, "a", "b")).To(BeFalse())
+}
+
+// Guards against the first part of the list being taken for sound because of its place.
+func TestTheFirstPartCanBeTheDeadlyOne(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 3 {
+		l.Observe(at(time.Duration(n)*time.Second), crash(n, "dead", "x"))
+		l.Observe(at(time.Duration(n)*time.Second+300*time.Millisecond), began("y", "x"))
+	}
+	g.Expect(held(l, "dead", "z")).To(BeTrue())
+	g.Expect(held(l, "y", "x")).To(BeFalse())
+}
+
+// Guards against blaming what only ran beside a deadly request: its calls without an event are lost with
+// the server as well.
+func TestWhatRunsBesideADeadlyRequestIsNotBlamed(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 8 {
+		now := time.Duration(n) * time.Second
+		l.Observe(at(now), crash(n, "first", "dead"))
+		l.Observe(at(now), crash(n, "popular"))
+		l.Observe(at(now), crash(n, model.PromptPart(fmt.Sprint("rare", n))))
+		l.Observe(at(now+100*time.Millisecond), began("popular"))
+	}
+	g.Expect(held(l, "popular")).To(BeFalse())
+	for n := range 8 {
+		g.Expect(held(l, model.PromptPart(fmt.Sprint("rare", n)))).To(BeFalse())
+	}
+	g.Expect(held(l, "first", "dead")).To(BeTrue())
+}
+
+// Guards against a loss of power of many servers at once, which ends requests with the same popular part on
+// several of them.
+func TestServersThatEndTogetherCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 20 {
+		l.Observe(at(time.Duration(n)*10*time.Millisecond), crash(n, "popular"))
+	}
+	g.Expect(held(l, "popular")).To(BeFalse())
+	l.Observe(at(400*time.Millisecond), crash(21, "popular"))
+	g.Expect(held(l, "popular")).To(BeFalse(), "two waves")
+	l.Observe(at(500*time.Millisecond), began("popular"))
+	l.Observe(at(800*time.Millisecond), crash(22, "popular"))
+	g.Expect(held(l, "popular")).To(BeFalse())
+}
+
+// Guards against several calls on one server counting as several ends.
+func TestOneEndCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 6 {
+		l.Observe(at(time.Duration(n)*time.Second), crash(1, "p"))
+	}
+	r, _ := l.Get("p")
+	g.Expect(r.Strikes).To(HaveLen(1))
+	g.Expect(held(l, "p")).To(BeFalse())
+}
+
+// Guards against a part that is held back for good after it is sound again, or after it was blamed wrongly,
+// and against trials that end one server after the other.
+func TestAQuarantineEndsWithTrials(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 3 {
+		l.Observe(at(time.Duration(n)*time.Second), crash(n, "dead"))
+	}
+	first, second := quarantine.NewGate(), quarantine.NewGate()
+	second.SetPosition(1)
+	check := func(gate *quarantine.Gate, now time.Duration) bool {
+		gate.SetView(l.View())
+		_, refused := gate.Check(at(now), parts("dead"))
+		return refused
+	}
+	g.Expect(check(first, 61*time.Second)).To(BeTrue())
+	g.Expect(check(first, 62*time.Second)).To(BeFalse())
+	g.Expect(check(second, 62*time.Second)).To(BeTrue(), "another instance tries later")
+	g.Expect(first.Sent(at(62*time.Second), parts("dead"))).To(BeTrue())
+	g.Expect(check(first, 63*time.Second)).To(BeTrue(), "one request at a time")
+	l.Observe(at(63*time.Second), crash(10, "dead"))
+	g.Expect(check(first, 182*time.Second)).To(BeTrue(), "the next quarantine is twice as long")
+	g.Expect(check(second, 182*time.Second)).To(BeTrue())
+	g.Expect(check(first, 183*time.Second)).To(BeFalse())
+	l.Observe(at(184*time.Second), began("dead"))
+	g.Expect(held(l, "dead")).To(BeFalse())
+	g.Expect(check(first, 184*time.Second)).To(BeFalse())
+	g.Expect(check(second, 184*time.Second)).To(BeFalse())
+	g.Expect(first.Sent(at(185*time.Second), parts("dead"))).To(BeFalse(), "no trial")
+}
+
+// Guards against an instance that holds a part back for good because its trial had no outcome.
+func TestATrialWithoutOutcomeIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 3 {
+		l.Observe(at(time.Duration(n)*time.Second), crash(n, "p"))
+	}
+	gate := quarantine.NewGate()
+	gate.SetView(l.View())
+	gate.Sent(at(63*time.Second), parts("p"))
+	_, refused := gate.Check(at(67*time.Second), parts("p"))
+	g.Expect(refused).To(BeTrue())
+	_, refused = gate.Check(at(68*time.Second), parts("p"))
+	g.Expect(refused).To(BeFalse())
+}
+
+// Guards against requests that were on their way when the quarantine began, and that make it longer.
+func TestEndsDuringAQuarantineDoNotProlongIt(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 8 {
+		l.Observe(at(time.Duration(n)*300*time.Millisecond), crash(n, "dead"))
+	}
+	r, _ := l.Get("dead")
+	g.Expect(r.Level).To(Equal(1))
+	g.Expect(r.Until).To(Equal(at(60*time.Second + 600*time.Millisecond)))
+}
+
+// Guards against a ledger that grows with the parts that requests bring, and against losing a condemned part
+// to a flood of them.
+func TestALedgerIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	for n := range 3 {
+		l.Observe(at(time.Duration(n)*time.Second), crash(n, "dead"))
+	}
+	for n := range 4_000 {
+		l.Observe(at(3*time.Second), crash(n+10, model.PromptPart(fmt.Sprint("p", n))))
+	}
+	g.Expect(l.Len()).To(BeNumerically("<=", 1024))
+	g.Expect(held(l, "dead")).To(BeTrue())
+	g.Expect(l.Tick(at(time.Hour))).To(BeTrue())
+	g.Expect(l.Len()).To(Equal(1), "only the condemned part is left")
+	l.Tick(at(3 * time.Hour))
+	g.Expect(l.Len()).To(BeZero())
+}
+
+// Guards against the views and gates of an instance that has no evidence yet.
+func TestWithoutEvidenceNothingIsHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	var none *quarantine.View
+	g.Expect(none.Suspected(parts("p"))).To(BeFalse())
+	_, ok := none.Held(parts("p"))
+	g.Expect(ok).To(BeFalse())
+	gate := quarantine.NewGate()
+	_, refused := gate.Check(start, parts("p"))
+	g.Expect(refused).To(BeFalse())
+	g.Expect(gate.Sent(start, parts("p"))).To(BeFalse())
+}
--- a/internal/decide/relay/admit.go
+++ b/internal/decide/relay/admit.go
@@ -20,6 +20,7 @@
 	Timeout                                    time.Duration
 	PromptTokens, OutputTokens, ExpectedTokens int
 	Model                                      string
+	Parts                                      []model.PromptPart
 	Domain                                     model.FailureDomain
 	// SplitPoint selects one of the services of a split route; see routing.Service.
 	SplitPoint float64
@@ -81,6 +82,6 @@
 	return Request{
 		ID: r.ID, Attempt: r.Attempt, Route: route, Service: routing.Service(route, r.SplitPoint), Team: team, Revision: revision,
 		Arrived: arrived, Deadline: deadline, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, ExpectedTokens: r.ExpectedTokens,
-		Model: r.Model, Domain: r.Domain,
+		Model: r.Model, Parts: r.Parts, Domain: r.Domain,
 	}, nil
 }
--- a/internal/decide/relay/machine.go
+++ b/internal/decide/relay/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briaryard/internal/decide/hold"
+	"briaryard/internal/decide/quarantine"
 	"briaryard/internal/decide/retry"
 	"briaryard/internal/decide/schedule"
 	"briaryard/internal/fault"
@@ -65,13 +66,15 @@
 	requests map[model.RequestID]*requestState
 	budget   *retry.Budget
 	// bars holds what the backend servers have said about themselves to this instance.
-	bars    *hold.Table
+	bars *hold.Table
+	// gate holds back requests with parts of prompts that end servers.
+	gate    *quarantine.Gate
 	effects []Effect
 }
 
 // New returns a machine without requests. The budget limits retries.
 func New(budget *retry.Budget) *Machine {
-	return &Machine{requests: make(map[model.RequestID]*requestState), budget: budget, bars: hold.NewTable()}
+	return &Machine{requests: make(map[model.RequestID]*requestState), budget: budget, bars: hold.NewTable(), gate: quarantine.NewGate()}
 }
 
 // TakeEffects returns the effects since the last call.
@@ -101,6 +104,10 @@
 // call. Until the answer has begun, the wait is also bounded by the route's patience.
 func (m *Machine) requestServer(now time.Time, s *requestState) {
 	s.phase = awaitingServer
+	if f := m.heldBack(now, s); f != nil {
+		m.endWithoutRetry(now, s, f)
+		return
+	}
 	w := schedule.Request{
 		ID: s.ID, Service: s.Service, Team: s.Team, Rank: s.Route.Rank,
 		Prompt: s.PromptTokens, Output: s.OutputTokens, Expected: s.ExpectedTokens, Model: s.Model, Domain: s.Domain,
@@ -139,6 +146,11 @@
 		m.endWithoutRetry(now, s, &fault.NotServed{Service: s.Service, Reason: "no time is left", Wait: minCallTime})
 		return
 	}
+	if f := m.heldBack(now, s); f != nil {
+		m.emit(Report{schedule.Report{ID: d.ID, Server: d.Server.ID, Outcome: schedule.Unused, Refund: s.possibleRuns == 0}})
+		m.endWithoutRetry(now, s, f)
+		return
+	}
 	s.admitted = true
 	if bar, ok := m.bars.Lookup(now, d.Server.ID, d.Server.Incarnation); ok {
 		m.returnGrant(now, s, &d.Server, bar)
@@ -149,7 +161,7 @@
 	s.possibleRuns++
 	s.triedServers = append(slices.Clone(s.triedServers), d.Server.ID)
 	m.emit(StartCall{
-		ID: s.ID, Send: s.calls, Server: d.Server, Until: s.Deadline, Resume: s.answerBegan, LastEvent: s.lastEvent,
+		ID: s.ID, Send: s.calls, Server: d.Server, Until: s.Deadline, Resume: s.answerBegan, LastEvent: s.lastEvent, Trial: m.gate.Sent(now, s.Parts),
 		Waited: now.Sub(s.Arrived), WithoutDispatcher: alone,
 	})
 }
@@ -307,12 +319,17 @@
 	s.possibleRuns--
 	s.lastError = e.Cause
 	// An unsent request has reached no server, so its retry is not charged to the budget.
-	mayRetry := s.calls < maxCalls && now.Before(s.Deadline.Add(-minCallTime)) && (e.Kind == CallUnsent || e.Kind == CallReturned || m.budget.TakeRetry(now, s.Service))
+	held := m.heldBack(now, s)
+	mayRetry := held == nil && s.calls < maxCalls && now.Before(s.Deadline.Add(-minCallTime)) && (e.Kind == CallUnsent || e.Kind == CallReturned || m.budget.TakeRetry(now, s.Service))
 	m.report(s, e, outcomeOf(e.Kind), !mayRetry && s.possibleRuns == 0)
 	if mayRetry {
 		m.retry(now, s, e)
 		return
 	}
+	if held != nil {
+		m.endWithoutRetry(now, s, held)
+		return
+	}
 	m.endWithoutRetry(now, s, &fault.NoSecondTry{Server: s.server, Err: e.Cause})
 }
 
@@ -330,7 +347,7 @@
 // takeRetry reports whether a request that may have run can be sent to another server. If so, the
 // retry is charged to the budget.
 func (m *Machine) takeRetry(now time.Time, s *requestState) bool {
-	return s.Route.MayRepeat() && s.possibleRuns < s.Route.MaxServers && s.calls < maxCalls &&
+	return m.heldBack(now, s) == nil && s.Route.MayRepeat() && s.possibleRuns < s.Route.MaxServers && s.calls < maxCalls &&
 		(s.phase != streaming || s.Route.Resumable && s.lastEvent != "") &&
 		now.Before(s.Deadline.Add(-minCallTime)) && m.budget.TakeRetry(now, s.Service)
 }
--- a/internal/decide/relay/types.go
+++ b/internal/decide/relay/types.go
@@ -24,7 +24,9 @@
 	// PromptTokens, OutputTokens and ExpectedTokens are numbers of tokens; see schedule.Request.
 	PromptTokens, OutputTokens, ExpectedTokens int
 	Model                                      string
-	Domain                                     model.FailureDomain
+	// Parts are the parts of the prompt that other requests may share.
+	Parts  []model.PromptPart
+	Domain model.FailureDomain
 }
 
 // CallKind is the kind of an event in a call to a backend server.
@@ -97,6 +99,8 @@
 	// Resume is set if the call continues a stream after LastEvent.
 	Resume    bool
 	LastEvent string
+	// Trial is set if the request has parts of a prompt that are under quarantine.
+	Trial bool
 	// Waited is the time since the arrival. WithoutDispatcher is set if this instance chose the
 	// server without the dispatcher.
 	Waited            time.Duration
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -24,8 +24,8 @@
 	// Retry-After of up to a third of the time that they have left, and then have four ninths of the
 	// total for the second try.
 	maxQueueShare = 1.0 / 3
-	// minRetryAfter keeps denied callers from retrying at once.
-	minRetryAfter = 200 * time.Millisecond
+	// MinRetryAfter keeps denied callers from retrying at once.
+	MinRetryAfter = 200 * time.Millisecond
 	// noServerWait is how long a service may be without a usable server before its requests are denied.
 	noServerWait = 700 * time.Millisecond
 	// maxWaiting limits the waiting requests of all services together.
@@ -307,7 +307,7 @@
 	if reason == DeniedAllotment {
 		in.Level, in.Rate = s.limits.Level(w.Team)
 	}
-	s.decisions = append(s.decisions, Decision{ID: w.ID, Denied: true, Reason: reason, RetryAfter: max(wait, minRetryAfter), Inputs: in})
+	s.decisions = append(s.decisions, Decision{ID: w.ID, Denied: true, Reason: reason, RetryAfter: max(wait, MinRetryAfter), Inputs: in})
 }
 
 // Report applies the progress or the result of a granted request. Any outcome but Began releases the
--- a/internal/fault/routed.go
+++ b/internal/fault/routed.go
@@ -20,6 +20,7 @@
 	CodeAnswerLost      = register("answer-lost", "Answer of the backend server was lost", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
 	CodeTimedOut        = register("timed-out", "Time of the request is over", http.StatusGatewayTimeout, model.MayHaveRun, ExitUnavailable)
 	CodeStreamCut       = register("stream-cut", "Stream could not be finished", http.StatusBadGateway, model.Ran, ExitUnavailable)
+	CodePromptHeldBack  = register("prompt-held-back", "Requests with a part of the prompt end backend servers", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
 	CodeInvalidDocument = register("invalid-document", "Configuration of routes is invalid", http.StatusBadRequest, model.NotRun, ExitInvalid)
 	CodeInvalidServer   = register("invalid-announcement", "Announcement of a backend server is invalid", http.StatusBadRequest, model.NotRun, ExitInvalid)
 	CodeInstanceClosed  = register("instance-closing", "Instance takes no new requests", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
@@ -104,6 +105,24 @@
 // RetryAfter implements Retryable.
 func (e *NotServed) RetryAfter() time.Duration { return e.Wait }
 
+// PromptHeldBack reports a request with a part of its prompt with which requests have ended backend
+// servers. Wait is the time until such a request is tried again.
+type PromptHeldBack struct {
+	Part model.PromptPart
+	// Ended is the number of servers that have ended, as far as they are known.
+	Ended int
+	Wait  time.Duration
+}
+
+// Code implements Fault.
+func (e *PromptHeldBack) Code() Code { return CodePromptHeldBack }
+func (e *PromptHeldBack) Error() string {
+	return fmt.Sprintf("%d backend servers ended while they began to answer requests with prompt part %q; the next is tried in %v", e.Ended, e.Part, e.Wait.Round(time.Millisecond))
+}
+
+// RetryAfter implements Retryable.
+func (e *PromptHeldBack) RetryAfter() time.Duration { return e.Wait }
+
 // NoSecondTry reports a request that a backend server refused without running it, when the retry
 // limit does not allow a second attempt at another server.
 type NoSecondTry struct {
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"briaryard/internal/decide/quarantine"
 	"briaryard/internal/decide/relay"
 	"briaryard/internal/decide/roster"
 	"briaryard/internal/decide/routing"
@@ -29,6 +30,8 @@
 	RelayName = "relay"
 	// HTTPBackendName calls backend servers over HTTP.
 	HTTPBackendName = "backend.http"
+	// QuarantineName finds the parts of prompts that end servers.
+	QuarantineName = "quarantine"
 	// PresenceName publishes whether this instance accepts requests, and stops it gracefully.
 	PresenceName = "presence"
 	// RouteConfigCodecName and DialectName translate the formats of the platform.
@@ -75,6 +78,18 @@
 	// SubscribeServers registers a receiver of all records, which is called when one has changed.
 	// It is called during Provision.
 	SubscribeServers(sink func([]model.BackendServer))
+	// SubscribeSources registers a receiver of the core instances that this instance follows. It is called
+	// during Provision. A core instance follows none.
+	SubscribeSources(sink func([]model.InstanceID))
+}
+
+// Quarantine finds the parts of prompts that end the servers which begin to answer them. The instances
+// share their evidence.
+type Quarantine interface {
+	// Observe takes what this instance has seen of a request with shared parts.
+	Observe(s quarantine.Sighting)
+	// SubscribeViews registers a receiver of the evidence. It is called during Provision.
+	SubscribeViews(sink func(*quarantine.View))
 }
 
 // Roster publishes the instances that accept requests.
@@ -182,8 +197,10 @@
 	Server  model.BackendServer
 	Team    model.TeamID
 	Call    *model.HTTPCall
-	// Parts are the parts of the prompt that other requests may share.
+	// Parts are the parts of the prompt that other requests may share. Trial is set if the request is sent
+	// although some of them are under quarantine.
 	Parts []model.PromptPart
+	Trial bool
 	// Until is the deadline of the call on clock.Boot.
 	Until time.Time
 	// Stream is set if the answer may be an event stream.
@@ -302,6 +319,12 @@
 	PresenceMessage struct{ Entry roster.Entry }
 	// InstancesMessage carries changes of the list of instances that accept requests to RosterName.
 	InstancesMessage struct{ Changes roster.Changes }
+	// PartRecordsMessage carries evidence against parts of prompts to QuarantineName. Follow begins and
+	// Unfollow ends the sending of evidence by a core instance to the sender.
+	PartRecordsMessage struct {
+		Follow, Unfollow bool
+		Records          []quarantine.RelativeRecord
+	}
 	// InstancesRequestMessage asks RosterName of a core instance for its whole list.
 	InstancesRequestMessage struct{}
 )
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"briaryard/internal/clock"
 	"briaryard/internal/decide/hold"
+	"briaryard/internal/decide/quarantine"
 	"briaryard/internal/decide/relay"
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
@@ -48,9 +50,12 @@
 	sink    func(relay.CallEvent)
 	notify  func(model.ServerNotice)
 	barred  func(*model.BackendServer) (hold.Bar, bool)
-	log     *event.Log
-	metrics *metric.Set
-	host    *kernel.Host
+	// evidence is the view of the parts of prompts that end servers, and observe takes what this call shows.
+	evidence *atomic.Pointer[quarantine.View]
+	observe  func(quarantine.Sighting)
+	log      *event.Log
+	metrics  *metric.Set
+	host     *kernel.Host
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes int
 	// idleConn is the connection offered for reuse, or nil. conn is the one that the call uses.
@@ -138,6 +143,10 @@
 		c.sendFinal(ctx, relay.CallReturned, &fault.ServerBarred{Server: c.out.Server.ID, Leaving: bar.Leaving})
 		return 0
 	}
+	if part, held := c.evidence.Load().Held(c.out.Parts); held && !c.out.Trial {
+		c.sendFinal(ctx, relay.CallReturned, &fault.PromptHeldBack{Part: part})
+		return 0
+	}
 	n, err := c.writeRequest(c.encodeHeader(left))
 	if err != nil && n == 0 {
 		c.sendFinal(ctx, relay.CallUnsent, err)
@@ -330,6 +339,7 @@
 		answer.Body = body
 		c.firstEventAt = clock.Boot()
 		c.eventCount = 1
+		c.observeBegin(answer.Status)
 		c.sendEvent(ctx, relay.CallEvent{Kind: relay.CallAnswered, Answer: answer})
 		return nil
 	}
@@ -383,6 +393,7 @@
 // stream.
 func (c *call) beginAnswer(ctx context.Context, header *model.HTTPAnswer) {
 	c.firstEventAt = clock.Boot()
+	c.observeBegin(header.Status)
 	if !c.out.Resume {
 		c.forward(ctx, port.RoutedEvent{Kind: port.RoutedHead, Answer: header})
 	}
--- a/internal/service/httpbackend/call_test.go
+++ b/internal/service/httpbackend/call_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"briaryard/internal/clock"
+	"briaryard/internal/decide/quarantine"
 	"briaryard/internal/decide/relay"
 	"briaryard/internal/event"
 	"briaryard/internal/kernel"
@@ -33,17 +34,22 @@
 	maxEventBytes = 16 << 10
 )
 
+// noopLifecycle is the lifecycle of a service without duties.
+type noopLifecycle struct{}
+
+func (noopLifecycle) Needs() []string                 { return nil }
+func (noopLifecycle) Provision(kernel.Resolver) error { return nil }
+func (noopLifecycle) Start(*kernel.Host) error        { return nil }
+func (noopLifecycle) Stop(context.Context) error      { return nil }
+
 // dialect is a minimal port.Dialect with the header names that the scripted servers use.
 type dialect struct {
+	noopLifecycle
 	// onAnswer, if set, is called when the head of an answer has been read.
 	onAnswer func()
 }
 
-func (dialect) Name() string                    { return port.DialectName }
-func (dialect) Needs() []string                 { return nil }
-func (dialect) Provision(kernel.Resolver) error { return nil }
-func (dialect) Start(*kernel.Host) error        { return nil }
-func (dialect) Stop(context.Context) error      { return nil }
+func (dialect) Name() string { return port.DialectName }
 func (dialect) CallHeader(o *port.HTTPOutbound, _ time.Duration) []model.HeaderField {
 	return []model.HeaderField{{Name: "Attempt", Value: o.Attempt}, {Name: "After", Value: o.LastEvent}}
 }
@@ -119,9 +125,24 @@
 	events chan relay.CallEvent
 	// notices holds what the servers have said about themselves.
 	notices chan model.ServerNotice
-	stop    func()
+	// evidence stands in for the quarantine service.
+	evidence *evidence
+	stop     func()
+}
+
+// evidence records sightings, and publishes the view that a test sets.
+type evidence struct {
+	noopLifecycle
+	sightings chan quarantine.Sighting
+	publish   func(*quarantine.View)
 }
 
+func (*evidence) Name() string { return port.QuarantineName }
+
+func (e *evidence) Observe(s quarantine.Sighting) { e.sightings <- s }
+
+func (e *evidence) SubscribeViews(sink func(*quarantine.View)) { e.publish = sink }
+
 // start runs the service in a kernel of its own.
 func start(t *testing.T) *backend { return startWith(t, dialect{}) }
 
@@ -136,10 +157,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &backend{Service: httpbackend.New(log, metric.NewSet(), httpbackend.Options{MaxEventBytes: maxEventBytes}), events: make(chan relay.CallEvent, 100), notices: make(chan model.ServerNotice, 100)}
+	b := &backend{Service: httpbackend.New(log, metric.NewSet(), httpbackend.Options{MaxEventBytes: maxEventBytes}), events: make(chan relay.CallEvent, 100), notices: make(chan model.ServerNotice, 100),
+		evidence: &evidence{sightings: make(chan quarantine.Sighting, 100)}}
 	b.AttachCalls(func(e relay.CallEvent) { b.events <- e }, func(n model.ServerNotice) { b.notices <- n })
 	k := kernel.New(func(err error) { t.Error(err) })
-	for _, s := range []kernel.Service{d, b.Service} {
+	for _, s := range []kernel.Service{d, b.evidence, b.Service} {
 		if err := k.Register(s); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/service/httpbackend/loss.go
+++ b/internal/service/httpbackend/loss.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"briaryard/internal/clock"
+	"briaryard/internal/decide/quarantine"
 	"briaryard/internal/event"
 	"briaryard/internal/metric"
 )
@@ -37,9 +39,20 @@
 	after := clock.Boot().Sub(c.startedAt)
 	state := c.probeServer(ctx)
 	c.metrics.Counter(metric.CallsLost, string(state)).Inc(1)
+	if state == serverEnded {
+		c.observe(quarantine.Sighting{Parts: c.out.Parts, Crash: quarantine.Crash{Server: c.out.Server.ID, Incarnation: c.out.Server.Incarnation}})
+	}
 	c.log.Emit(event.CallLost, c.out.ID.String(), c.out.Server.ID, c.out.Server.Incarnation, after, string(state), c.out.Parts, c.lossCause.Error())
 }
 
+// observeBegin reports that an answer has begun, if there is evidence against parts of its prompt. A failure
+// says nothing about them.
+func (c *call) observeBegin(status int) {
+	if status < http.StatusMultipleChoices && c.evidence.Load().Suspected(c.out.Parts) {
+		c.observe(quarantine.Sighting{Parts: c.out.Parts})
+	}
+}
+
 // probeServer opens a connection to the server and closes it.
 func (c *call) probeServer(ctx context.Context) serverState {
 	d := net.Dialer{Timeout: lossCheckTimeout}
--- /dev/null
+++ b/internal/service/httpbackend/quarantine_test.go
@@ -0,0 +1,103 @@
+package httpbackend_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"briaryard/internal/clock"
+	"briaryard/internal/decide/quarantine"
+	"briaryard/internal/decide/relay"
+	"briaryard/internal/model"
+	"briaryard/internal/port"
+)
+
+var deadlyParts = []model.PromptPart{"first", "dead"}
+
+// evidenceAfter returns the evidence after a number of ends of servers, a second apart.
+func evidenceAfter(ends int) *quarantine.View {
+	l := quarantine.NewLedger()
+	for n := range ends {
+		l.Observe(clock.Boot().Add(time.Duration(n-ends)*time.Second), quarantine.Sighting{
+			Parts: deadlyParts, Crash: quarantine.Crash{Server: model.BackendServerID(string(rune('a' + n))), Incarnation: 1},
+		})
+	}
+	return l.View()
+}
+
+// Guards against a request that was granted before its part was condemned and is sent after. A trial is sent.
+func TestACallWithADeadlyPartIsReturned(t *testing.T) {
+	for name, c := range map[string]struct {
+		trial bool
+		parts []model.PromptPart
+		want  relay.CallKind
+	}{
+		"held back":      {parts: deadlyParts, want: relay.CallReturned},
+		"trial":          {trial: true, parts: deadlyParts, want: relay.CallEnded},
+		"neighbour only": {parts: deadlyParts[:1], want: relay.CallEnded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(w net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n\n")
+				return false
+			})
+			b := start(t)
+			defer b.stop()
+			b.evidence.publish(evidenceAfter(3))
+			e, _ := b.call(t, s.listener.Addr().String(), "1", func(o *port.HTTPOutbound) {
+				stream(o)
+				o.Parts, o.Trial = c.parts, c.trial
+			})
+			g.Expect(e.Kind).To(Equal(c.want))
+			if c.want == relay.CallReturned {
+				g.Consistently(s.requests, 50*time.Millisecond).ShouldNot(Receive(), "the server got the request")
+			}
+		})
+	}
+}
+
+// Guards against evidence that is not taken: the end of a server before the first event, and an answer that
+// begins on a suspected part. A failure and an unsuspected part say nothing.
+func TestWhatACallShowsOfItsPartsIsReported(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		ends   bool
+		known  int
+		want   []quarantine.Sighting
+	}{
+		"server ends":      {answer: head, ends: true, want: []quarantine.Sighting{{Parts: deadlyParts, Crash: quarantine.Crash{Server: "b"}}}},
+		"connection reset": {answer: head},
+		"begins":           {answer: head + "id: 1\n\n", known: 1, want: []quarantine.Sighting{{Parts: deadlyParts}}},
+		"not suspected":    {answer: head + "id: 1\n\n"},
+		"failure":          {answer: "HTTP/1.1 500 X\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n", known: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var s *scriptedServer
+			s = serve(t, func(w net.Conn, _ *http.Request, _ int) bool {
+				if c.ends {
+					_ = s.listener.Close()
+				}
+				_, _ = io.WriteString(w, c.answer)
+				return false
+			})
+			b := start(t)
+			defer b.stop()
+			b.evidence.publish(evidenceAfter(c.known))
+			b.call(t, s.listener.Addr().String(), "1", func(o *port.HTTPOutbound) {
+				stream(o)
+				o.Parts = deadlyParts
+			})
+			for _, want := range c.want {
+				g.Eventually(b.evidence.sightings, waitLimit).Should(Receive(Equal(want)))
+			}
+			g.Consistently(b.evidence.sightings, 100*time.Millisecond).ShouldNot(Receive())
+		})
+	}
+}
--- a/internal/service/httpbackend/service.go
+++ b/internal/service/httpbackend/service.go
@@ -7,6 +7,7 @@
 
 	"briaryard/internal/clock"
 	"briaryard/internal/decide/hold"
+	"briaryard/internal/decide/quarantine"
 	"briaryard/internal/decide/relay"
 	"briaryard/internal/event"
 	"briaryard/internal/kernel"
@@ -70,8 +71,11 @@
 	notify  func(model.ServerNotice)
 	// bars is the immutable view of barTable for the calls.
 	bars atomic.Pointer[hold.Table]
-	ring *ring.Ring[message]
-	host *kernel.Host
+	// evidence is the view of the parts of prompts that end servers.
+	evidence   atomic.Pointer[quarantine.View]
+	quarantine port.Quarantine
+	ring       *ring.Ring[message]
+	host       *kernel.Host
 
 	// The fields below are accessed only by the backend.http duty.
 	calls map[callKey]context.CancelFunc
@@ -92,11 +96,15 @@
 func (s *Service) Name() string { return port.HTTPBackendName }
 
 // Needs implements kernel.Service.
-func (s *Service) Needs() []string { return []string{port.DialectName} }
+func (s *Service) Needs() []string { return []string{port.DialectName, port.QuarantineName} }
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
-	return r.Bind(kernel.Into(port.DialectName, &s.dialect))
+	if err := r.Bind(kernel.Into(port.DialectName, &s.dialect), kernel.Into(port.QuarantineName, &s.quarantine)); err != nil {
+		return err
+	}
+	s.quarantine.SubscribeViews(s.evidence.Store)
+	return nil
 }
 
 // Start implements kernel.Service.
@@ -169,7 +177,7 @@
 	key := callKey{out.ID, out.Send}
 	s.calls[key] = stop
 	c := &call{
-		out: out, dialect: s.dialect, sink: s.sink, notify: s.passOn, barred: s.barred, log: s.log, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
+		out: out, dialect: s.dialect, sink: s.sink, notify: s.passOn, barred: s.barred, evidence: &s.evidence, observe: s.quarantine.Observe, log: s.log, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
 		startedAt: now, host: s.host, maxEventBytes: s.options.MaxEventBytes,
 	}
 	s.host.Go("backend.http.call", func(host context.Context, _ *kernel.Duty) {
--- a/internal/service/registry/links.go
+++ b/internal/service/registry/links.go
@@ -100,6 +100,9 @@
 	}
 	s.log.Emit(event.RecordSources, chosen)
 	s.sources = chosen
+	for _, sink := range s.sourceSinks {
+		sink(slices.Clone(chosen))
+	}
 }
 
 // corePeersConnected reports whether all other core instances are connected.
--- a/internal/service/registry/service.go
+++ b/internal/service/registry/service.go
@@ -68,6 +68,8 @@
 	ring    *ring.Ring[message]
 	peers   port.Peers
 	sinks   []func([]model.BackendServer)
+	// sourceSinks receive the sources.
+	sourceSinks []func([]model.InstanceID)
 
 	// The fields below belong to the registry duty.
 	startedAt     time.Time
@@ -168,6 +170,11 @@
 // SubscribeServers implements port.Registry.
 func (s *Service) SubscribeServers(sink func([]model.BackendServer)) { s.sinks = append(s.sinks, sink) }
 
+// SubscribeSources implements port.Registry.
+func (s *Service) SubscribeSources(sink func([]model.InstanceID)) {
+	s.sourceSinks = append(s.sourceSinks, sink)
+}
+
 func (s *Service) handle(now time.Time, m message) {
 	switch m := m.(type) {
 	case announceRequest:
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"briaryard/internal/clock"
+	"briaryard/internal/decide/quarantine"
 	"briaryard/internal/decide/relay"
 	"briaryard/internal/decide/retry"
 	"briaryard/internal/decide/roster"
@@ -88,21 +89,24 @@
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string {
-	return []string{port.PeersName, port.RoutesName, port.RosterName, port.AllocateName, port.HTTPBackendName, port.RegistryName}
+	return []string{port.PeersName, port.RoutesName, port.RosterName, port.AllocateName, port.HTTPBackendName, port.RegistryName, port.QuarantineName}
 }
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) error {
 	var routes port.Routes
 	var instances port.Roster
+	var evidence port.Quarantine
 	err := r.Bind(kernel.Into(port.PeersName, &s.peers), kernel.Into(port.RoutesName, &routes),
 		kernel.Into(port.RosterName, &instances), kernel.Into(port.AllocateName, &s.allocate),
-		kernel.Into(port.HTTPBackendName, &s.backend), kernel.Into(port.RegistryName, &s.registry))
+		kernel.Into(port.HTTPBackendName, &s.backend), kernel.Into(port.RegistryName, &s.registry),
+		kernel.Into(port.QuarantineName, &evidence))
 	if err != nil {
 		return err
 	}
 	routes.SubscribeViews(func(v port.RouteView) { s.put(v) })
 	instances.SubscribeInstances(func(l *roster.Lists) { s.put(l) })
+	evidence.SubscribeViews(func(v *quarantine.View) { s.put(v) })
 	s.allocate.AttachDecisions(func(a port.Allocation) { s.put(a) })
 	s.backend.AttachCalls(func(e relay.CallEvent) { s.put(e) }, func(n model.ServerNotice) { s.put(n) })
 	return nil
@@ -164,8 +168,10 @@
 	case port.RouteView:
 		s.admission.Table, s.admission.ConfirmedAt = m.Table, m.AsOf
 		s.held.Release(now, true, func(id model.RequestID, arrived time.Time) { s.admitHeld(now, id, arrived) })
+	case *quarantine.View:
+		s.machine.SetQuarantine(now, m)
 	case *roster.Lists:
-		s.machine.SetInstances(len(m.All()))
+		s.setInstances(m.All())
 	case closingChanged:
 		s.closing = m.on
 	case stopScheduled:
@@ -176,6 +182,19 @@
 	s.perform(now)
 }
 
+// setInstances applies the list of the instances that take requests.
+func (s *Service) setInstances(list []roster.Entry) {
+	s.machine.SetInstances(len(list))
+	self, _ := s.peers.Self()
+	position := 0
+	for i := range list {
+		if list[i].Instance < self {
+			position++
+		}
+	}
+	s.machine.SetTrialPosition(position)
+}
+
 func (s *Service) onTick(now time.Time) {
 	s.held.Release(now, false, func(id model.RequestID, arrived time.Time) { s.admitHeld(now, id, arrived) })
 	s.machine.Tick(now)
@@ -219,7 +238,7 @@
 	}
 	return s.admission.Admit(now, &relay.Arrival{
 		ID: sub.ID, At: arrived, Attempt: sub.Attempt, Host: sub.Call.Host, Path: sub.Path, Key: sub.Key, Timeout: sub.Timeout,
-		PromptTokens: sub.Prompt, OutputTokens: sub.Output, ExpectedTokens: sub.Expected, Model: sub.Model,
+		PromptTokens: sub.Prompt, OutputTokens: sub.Output, ExpectedTokens: sub.Expected, Model: sub.Model, Parts: sub.Parts,
 		Domain: s.options.Domain, SplitPoint: rand.Float64(),
 	})
 }
@@ -294,7 +313,7 @@
 	s.log.Emit(event.RoutedSent, e.ID.String(), sub.Attempt, e.Send, e.Server.ID, e.Server.Address, e.Server.Sequence,
 		e.Waited, e.Until.Sub(now), e.WithoutDispatcher, r.Revision, sub.Parts)
 	s.backend.OpenCall(port.HTTPOutbound{
-		ID: e.ID, Send: e.Send, Attempt: sub.Attempt, Server: e.Server, Team: r.Team, Call: &sub.Call, Parts: sub.Parts, Until: e.Until,
+		ID: e.ID, Send: e.Send, Attempt: sub.Attempt, Server: e.Server, Team: r.Team, Call: &sub.Call, Parts: sub.Parts, Trial: e.Trial, Until: e.Until,
 		Stream: r.Route.Kind == model.KindStream, Resume: e.Resume, LastEvent: e.LastEvent, Events: sub.Events,
 	})
 }
--- a/internal/wire/routedwire/codec.go
+++ b/internal/wire/routedwire/codec.go
@@ -56,6 +56,8 @@
 		env.Body = &pb.Envelope_Presence{Presence: encodePresence(m.Entry)}
 	case port.InstancesMessage:
 		env.Body = &pb.Envelope_Instances{Instances: encodeInstances(&m.Changes)}
+	case port.PartRecordsMessage:
+		env.Body = &pb.Envelope_PartRecords{PartRecords: encodePartRecords(m)}
 	case port.InstancesRequestMessage:
 		env.Body = &pb.Envelope_InstancesRequest{InstancesRequest: &pb.InstancesRequest{}}
 	default:
@@ -185,6 +187,8 @@
 		return port.PresenceMessage{Entry: decodePresence(b.Presence)}, nil
 	case *pb.Envelope_Instances:
 		return port.InstancesMessage{Changes: decodeInstances(b.Instances)}, nil
+	case *pb.Envelope_PartRecords:
+		return decodePartRecords(b.PartRecords)
 	case *pb.Envelope_InstancesRequest:
 		return port.InstancesRequestMessage{}, nil
 	}
