Let the stand-in of a test keep the connection that it offers for reuse

The test of slow and stalled streams failed once beside other work: the second call got CallBroken. Cause: the stand-in ended its first answer and then closed the connection without saying so; a call that took the connection before the close arrived was lost, which is what the client must then report. Evidence: with a pause of 20 ms before the close the test fails each time in the same way (trial, not kept). Change: the stand-in keeps the connection. What the test expects is unchanged.

--- a/internal/service/httpbackend/endless_test.go
+++ b/internal/service/httpbackend/endless_test.go
@@ -144,7 +144,8 @@
 				_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
 			}
 			_, _ = io.WriteString(w, "0\r\n\r\n")
-			return false
+			// A server that closes here may be caught between two requests.
+			return true
 		}
 		for {
 			if _, err := io.WriteString(w, "1\r\nx\r\n"); err != nil {
