Read the limits that servers name and log them

Cause: not in this commit. The logs could not tell whether the limit is read, by whom, and since when. No server is chosen by it.

--- a/internal/decide/hold/table.go
+++ b/internal/decide/hold/table.go
@@ -6,8 +6,16 @@
 	"briaryard/internal/model"
 )
 
-// maxEntries bounds the servers of a table; a fleet has some hundreds.
-const maxEntries = 4096
+const (
+	// maxEntries bounds the servers of a table; a fleet has some hundreds.
+	maxEntries = 4096
+	// LimitTTL is how long a limit holds after the server last named it. A server names it in each answer;
+	// one that gets no requests cannot say that it has ended.
+	LimitTTL = 10 * time.Second
+	// limitRenewal is the time after which a limit that is named again counts as news, so that it is passed
+	// on well within LimitTTL.
+	limitRenewal = 2 * time.Second
+)
 
 // Bar states why and for how long a server is to get no request.
 type Bar struct {
@@ -28,43 +36,76 @@
 	incarnation model.Incarnation
 	// since is when the server last gave its word.
 	since time.Time
+	// limit is the named limit in requests per second, or zero. It was last named at namedAt, and last
+	// reported as news at renewedAt.
+	limit              float64
+	namedAt, renewedAt time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: make(map[model.BackendServerID]entry)} }
 
-// Apply applies a notice that was read at the given time. It reports whether the server is barred for a
-// new reason or for longer than before.
+// Apply applies a notice that was read at the given time. It reports whether the notice is news: the server
+// is barred for a new reason or for longer than before, or its limit has changed or is due to be passed on.
 func (t *Table) Apply(now time.Time, n model.ServerNotice) bool {
 	old, known := t.entries[n.Server]
 	if known && n.Incarnation < old.incarnation {
 		return false
 	}
-	e := entry{incarnation: n.Incarnation, since: now, Bar: Bar{Leaving: n.Leaving, Until: now.Add(n.HoldFor)}}
-	if known && n.Incarnation == old.incarnation {
-		e.Leaving = e.Leaving || old.Leaving
-		if old.Until.After(e.Until) {
-			e.Until = old.Until
-		}
+	if known && n.Incarnation > old.incarnation {
+		old = entry{}
 	}
-	if !e.barred(now) {
-		return false
+	e := entry{
+		incarnation: n.Incarnation, since: now, Bar: Bar{Leaving: n.Leaving || old.Leaving, Until: now.Add(n.HoldFor)},
+		limit: old.limit, namedAt: old.namedAt, renewedAt: old.renewedAt,
+	}
+	if old.Until.After(e.Until) {
+		e.Until = old.Until
+	}
+	news := e.Leaving && !old.Leaving || !e.Leaving && n.HoldFor > 0 && e.Until.After(old.Until)
+	news = e.applyLimit(now, n) || news
+	if !e.matters(now) {
+		delete(t.entries, n.Server)
+		return news
 	}
-	changed := !known || n.Incarnation > old.incarnation || e.Leaving != old.Leaving || !e.Leaving && e.Until.After(old.Until)
 	t.entries[n.Server] = e
 	if len(t.entries) > maxEntries {
 		t.forget(now)
 	}
-	return changed
+	return news
+}
+
+// applyLimit applies what a notice says of the limit, and reports whether it is news. An answer without a
+// limit ends one only if its request was sent after the limit was last named: answers overtake each other.
+func (e *entry) applyLimit(now time.Time, n model.ServerNotice) bool {
+	switch {
+	case n.Limit > 0:
+		news := n.Limit != e.limit || !e.limited(now) || now.Sub(e.renewedAt) >= limitRenewal
+		e.limit, e.namedAt = n.Limit, now
+		if news {
+			e.renewedAt = now
+		}
+		return news
+	case n.LimitEnded && e.limited(now) && !n.SentAt.Before(e.namedAt):
+		e.limit = 0
+		return true
+	}
+	return false
 }
 
 func (e *entry) barred(now time.Time) bool { return e.Leaving || now.Before(e.Until) }
 
-// forget drops the holds that have ended, and the oldest word if there are none.
+// limited reports whether the server has a limit now.
+func (e *entry) limited(now time.Time) bool { return e.limit > 0 && now.Sub(e.namedAt) < LimitTTL }
+
+// matters reports whether the word still says anything.
+func (e *entry) matters(now time.Time) bool { return e.barred(now) || e.limited(now) }
+
+// forget drops the words that say nothing any more, and the oldest one if there are none.
 func (t *Table) forget(now time.Time) {
 	var oldest model.BackendServerID
 	for id, e := range t.entries {
-		if !e.barred(now) {
+		if !e.matters(now) {
 			delete(t.entries, id)
 			continue
 		}
@@ -86,13 +127,27 @@
 	return e.Bar, true
 }
 
+// Limit returns the limit of an incarnation of a server in requests per second, if there is one now.
+func (t *Table) Limit(now time.Time, id model.BackendServerID, incarnation model.Incarnation) (float64, bool) {
+	e, ok := t.entries[id]
+	if !ok || e.incarnation != incarnation || !e.limited(now) {
+		return 0, false
+	}
+	return e.limit, true
+}
+
 // Notices returns the words that still hold, with the rest of their time.
 func (t *Table) Notices(now time.Time) []model.ServerNotice {
 	var out []model.ServerNotice
 	for id, e := range t.entries {
-		if e.barred(now) {
-			out = append(out, model.ServerNotice{Server: id, Incarnation: e.incarnation, Leaving: e.Leaving, HoldFor: max(e.Until.Sub(now), 0)})
+		if !e.matters(now) {
+			continue
+		}
+		n := model.ServerNotice{Server: id, Incarnation: e.incarnation, Leaving: e.Leaving, HoldFor: max(e.Until.Sub(now), 0)}
+		if e.limited(now) {
+			n.Limit = e.limit
 		}
+		out = append(out, n)
 	}
 	return out
 }
--- a/internal/decide/hold/table_test.go
+++ b/internal/decide/hold/table_test.go
@@ -56,3 +56,47 @@
 	g.Expect(len(notices)).To(BeNumerically("<=", 4096))
 	g.Expect(len(notices)).To(BeNumerically(">=", 3000))
 }
+
+func limit(t *hold.Table, at time.Duration, incarnation model.Incarnation) float64 {
+	n, _ := t.Limit(start.Add(at), "s", incarnation)
+	return n
+}
+
+func named(n float64) model.ServerNotice {
+	return model.ServerNotice{Server: "s", Incarnation: 1, Limit: n}
+}
+
+// Guards against a limit that is forgotten while the server names it, and against one that holds for good
+// although nothing is known of the server any more.
+func TestALimitHoldsWhileItIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	table := hold.NewTable()
+	g.Expect(table.Apply(start, named(2))).To(BeTrue())
+	g.Expect(limit(table, 0, 1)).To(Equal(2.0))
+	g.Expect(table.Apply(start.Add(time.Second), named(2))).To(BeFalse(), "no news")
+	g.Expect(table.Apply(start.Add(3*time.Second), named(2))).To(BeTrue(), "due to be passed on again")
+	g.Expect(table.Apply(start.Add(4*time.Second), named(3))).To(BeTrue())
+	g.Expect(limit(table, 13999*time.Millisecond, 1)).To(Equal(3.0))
+	g.Expect(limit(table, 14*time.Second, 1)).To(BeZero())
+	g.Expect(limit(table, 5*time.Second, 2)).To(BeZero(), "another incarnation")
+	_, barred := table.Lookup(start.Add(5*time.Second), "s", 1)
+	g.Expect(barred).To(BeFalse(), "a limit bars nothing")
+	g.Expect(table.Notices(start.Add(5 * time.Second))).To(Equal([]model.ServerNotice{named(3)}))
+}
+
+// Guards against a limit that is ended by an answer to an earlier request, which only arrives late, and by
+// a word about something else.
+func TestOnlyAnAnswerToALaterRequestEndsALimit(t *testing.T) {
+	g := NewWithT(t)
+	table := hold.NewTable()
+	table.Apply(start.Add(time.Second), named(2))
+	ended := model.ServerNotice{Server: "s", Incarnation: 1, LimitEnded: true, SentAt: start.Add(999 * time.Millisecond)}
+	g.Expect(table.Apply(start.Add(2*time.Second), ended)).To(BeFalse())
+	g.Expect(limit(table, 2*time.Second, 1)).To(Equal(2.0))
+	table.Apply(start.Add(2*time.Second), model.ServerNotice{Server: "s", Incarnation: 1, HoldFor: time.Second})
+	g.Expect(limit(table, 2*time.Second, 1)).To(Equal(2.0))
+	ended.SentAt = start.Add(time.Second)
+	g.Expect(table.Apply(start.Add(2*time.Second), ended)).To(BeTrue())
+	g.Expect(limit(table, 2*time.Second, 1)).To(BeZero())
+	g.Expect(barred(table, 2*time.Second, 1)).To(BeTrue(), "the hold goes on")
+}
--- a/internal/decide/relay/machine.go
+++ b/internal/decide/relay/machine.go
@@ -168,7 +168,7 @@
 
 // HandleNotice takes what a server has said about itself in an answer to this instance.
 func (m *Machine) HandleNotice(now time.Time, n model.ServerNotice) {
-	if m.bars.Apply(now, n) || n.Invalid != "" {
+	if m.bars.Apply(now, n) || n.Invalid != "" || n.InvalidLimit != "" {
 		m.emit(PassOn{n})
 	}
 }
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -23,11 +23,14 @@
 		"An instance returned a grant unsent, because the backend server has said in an answer that it leaves or wants no request for a while.",
 		"request", "attempt", "backend_server", "leaving", "hold")
 	ServerSaid = define(1108, slog.LevelInfo, "server.said",
-		"A backend server said in an answer to this instance that it leaves, or for how long it wants no request from this instance.",
-		"backend_server", "incarnation", "leaving", "hold")
+		"A backend server said in an answer to this instance that it leaves, for how long it wants no request from this instance, how many requests a second it takes from all instances (limit, 0 if it said nothing of that), or that this limit has ended.",
+		"backend_server", "incarnation", "leaving", "hold", "limit", "limit_ended")
 	ServerHoldInvalid = define(1109, slog.LevelWarn, "server.hold_invalid",
 		"The time for which a backend server wants no request could not be read or is out of range; hold is used instead; at most 10 a minute.",
 		"backend_server", "text", "hold", "left_out")
+	ServerLimitInvalid = define(1113, slog.LevelWarn, "server.limit_invalid",
+		"The number of requests a second that a backend server takes could not be read and changes nothing; at most 10 a minute.",
+		"backend_server", "text", "left_out")
 	CallLost = define(1110, slog.LevelWarn, "call.lost",
 		"A call with shared prompt parts was lost before the first event of its answer. server is what a new connection showed: ended (it is refused), open, or unreachable.",
 		"request", "backend_server", "incarnation", "after", "server", "parts", "cause")
--- a/internal/model/server.go
+++ b/internal/model/server.go
@@ -81,6 +81,12 @@
 // MaxServerHold bounds ServerNotice.HoldFor.
 const MaxServerHold = 5 * time.Minute
 
+// MinServerLimit and MaxServerLimit bound ServerNotice.Limit, in requests per second.
+const (
+	MinServerLimit = 0.1
+	MaxServerLimit = 1e6
+)
+
 // ServerNotice is what a backend server has said about itself in an answer.
 type ServerNotice struct {
 	Server      BackendServerID
@@ -91,6 +97,14 @@
 	HoldFor time.Duration
 	// Invalid is the text that HoldFor replaces because it could not be read or was out of range.
 	Invalid string
+	// Limit is the number of requests a second that the server takes from all instances together, or zero if
+	// the notice says nothing of it. LimitEnded is set if the server names no limit any more; SentAt is then
+	// when the request was sent that it answered.
+	Limit      float64
+	LimitEnded bool
+	SentAt     time.Time
+	// InvalidLimit is a limit that could not be read. It changes nothing.
+	InvalidLimit string
 }
 
 // Instance is the membership record of an instance of briaryard.
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -239,6 +239,10 @@
 	// HoldFor is how long the server wants no request from this instance; see model.ServerNotice.
 	HoldFor        time.Duration
 	InvalidHoldFor string
+	// Limit is the number of requests a second that the server takes, or zero if it names none; see
+	// model.ServerNotice.
+	Limit        float64
+	InvalidLimit string
 }
 
 // Dialect defines the header fields that a platform's backend servers use. It is implemented by the
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -50,6 +50,8 @@
 	sink    func(relay.CallEvent)
 	notify  func(model.ServerNotice)
 	barred  func(*model.BackendServer) (hold.Bar, bool)
+	// limited reports whether the server has named a limit to this instance.
+	limited func(*model.BackendServer) bool
 	// evidence is the view of the parts of prompts that end servers, and observe takes what this call shows.
 	evidence *atomic.Pointer[quarantine.View]
 	observe  func(quarantine.Sighting)
@@ -244,7 +246,7 @@
 			return 0
 		}
 		note := c.dialect.ReadAnswer(resp.StatusCode, resp.Header.Get)
-		c.passOnNotice(&note)
+		c.passOnNotice(&note, note.Attempt == c.out.Attempt)
 		switch {
 		case note.Attempt == c.out.Attempt, note.Attempt == "" && note.NotRun && c.conn.answersRead == 0 && stale == 0:
 			return c.handleAnswer(ctx, resp, note)
@@ -261,15 +263,19 @@
 }
 
 // passOnNotice passes on what the server says about itself. The answer need not belong to this request,
-// and the call may have been cancelled: the server speaks for itself on its own connection.
-func (c *call) passOnNotice(note *port.AnswerMetadata) {
-	if !note.Leaving && note.HoldFor <= 0 {
-		return
+// and the call may have been cancelled: the server speaks for itself on its own connection. Only an answer to
+// this request can end a limit, because another one may be late.
+func (c *call) passOnNotice(note *port.AnswerMetadata, own bool) {
+	n := model.ServerNotice{
+		Server: c.out.Server.ID, Incarnation: c.out.Server.Incarnation, Leaving: note.Leaving, HoldFor: note.HoldFor, Invalid: note.InvalidHoldFor,
+		Limit: note.Limit, InvalidLimit: note.InvalidLimit,
+	}
+	if own && note.Limit == 0 && note.InvalidLimit == "" && c.limited(&c.out.Server) {
+		n.LimitEnded, n.SentAt = true, c.startedAt
+	}
+	if n.Leaving || n.HoldFor > 0 || n.Limit > 0 || n.LimitEnded || n.InvalidLimit != "" {
+		c.notify(n)
 	}
-	c.notify(model.ServerNotice{
-		Server: c.out.Server.ID, Incarnation: c.out.Server.Incarnation,
-		Leaving: note.Leaving, HoldFor: note.HoldFor, Invalid: note.InvalidHoldFor,
-	})
 }
 
 // discardBody reads an unneeded body to its end. It returns an error if the end is too far away in
--- a/internal/service/httpbackend/call_test.go
+++ b/internal/service/httpbackend/call_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -60,9 +61,18 @@
 	return port.AnswerMetadata{
 		Attempt: header("Attempt"), NotRun: header("Not-Run") != "", Absent: status == http.StatusMisdirectedRequest,
 		ClaimsNotRun: status == http.StatusServiceUnavailable, Leaving: header("Leaving") != "", HoldFor: holdFor(header("Hold")),
+		Limit: limitOf(header("Limit")),
 	}
 }
 
+func limitOf(text string) float64 {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 func holdFor(text string) time.Duration {
 	d, err := time.ParseDuration(text)
 	if err != nil {
--- a/internal/service/httpbackend/notice_test.go
+++ b/internal/service/httpbackend/notice_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -119,3 +120,29 @@
 	g.Eventually(b.notices, waitLimit).Should(Receive(HaveField("Leaving", true)))
 	g.Expect(b.events).To(BeEmpty())
 }
+
+// Guards against a limit that is not read, or that stays after the server has stopped naming it: it counts
+// with the head of each answer, and ends with the first answer without one to a request that was sent later.
+func TestTheLimitOfAServerIsPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(w net.Conn, r *http.Request, _ int) bool {
+		attempt := r.Header.Get("Attempt")
+		reply(w, attempt, map[string]string{"1": "Limit: 2.5\r\n", "2": "Limit: 1\r\n"}[attempt], "ok")
+		return true
+	})
+	b := start(t)
+	defer b.stop()
+	for attempt, want := range []model.ServerNotice{{Limit: 2.5}, {Limit: 1}, {LimitEnded: true}} {
+		b.call(t, s.listener.Addr().String(), strconv.Itoa(attempt+1), nil)
+		var got model.ServerNotice
+		g.Eventually(b.notices, waitLimit).Should(Receive(&got))
+		g.Expect(got.SentAt.IsZero()).To(Equal(!want.LimitEnded))
+		got.SentAt = time.Time{}
+		want.Server = "b"
+		g.Expect(got).To(Equal(want))
+		// The duty of the service has applied the notice once it has handled the end of the call.
+		time.Sleep(20 * time.Millisecond)
+	}
+	b.call(t, s.listener.Addr().String(), "4", nil)
+	g.Expect(b.notices).To(BeEmpty())
+}
--- a/internal/service/httpbackend/service.go
+++ b/internal/service/httpbackend/service.go
@@ -177,7 +177,7 @@
 	key := callKey{out.ID, out.Send}
 	s.calls[key] = stop
 	c := &call{
-		out: out, dialect: s.dialect, sink: s.sink, notify: s.passOn, barred: s.barred, evidence: &s.evidence, observe: s.quarantine.Observe, log: s.log, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
+		out: out, dialect: s.dialect, sink: s.sink, notify: s.passOn, barred: s.barred, limited: s.limited, evidence: &s.evidence, observe: s.quarantine.Observe, log: s.log, metrics: s.metrics, idleConn: s.takeIdle(now, out.Server),
 		startedAt: now, host: s.host, maxEventBytes: s.options.MaxEventBytes,
 	}
 	s.host.Go("backend.http.call", func(host context.Context, _ *kernel.Duty) {
@@ -206,6 +206,16 @@
 	return view.Lookup(clock.Boot(), b.ID, b.Incarnation)
 }
 
+// limited reports whether the server has a named limit now.
+func (s *Service) limited(b *model.BackendServer) bool {
+	view := s.bars.Load()
+	if view == nil {
+		return false
+	}
+	_, ok := view.Limit(clock.Boot(), b.ID, b.Incarnation)
+	return ok
+}
+
 // takeIdle removes and returns the most recently used idle connection to the server, or nil. It
 // closes connections that have expired or that lead to another incarnation or address.
 func (s *Service) takeIdle(now time.Time, b model.BackendServer) *conn {
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -62,7 +62,9 @@
 	registry port.Registry
 	// invalidHold logs the times of servers that cannot be read.
 	invalidHold *event.RateLimited
-	lastSeq     atomic.Uint64
+	// invalidLimit logs the limits of servers that cannot be read.
+	invalidLimit *event.RateLimited
+	lastSeq      atomic.Uint64
 
 	// The fields below belong to the relay duty.
 	machine   *relay.Machine
@@ -78,7 +80,8 @@
 // New returns the service.
 func New(log *event.Log, m *metric.Set, o Options) *Service {
 	return &Service{
-		log: log, metrics: m, options: o, invalidHold: log.RateLimit(event.ServerHoldInvalid), ring: ring.New[message]("relay", ringCapacity, ring.Block),
+		log: log, metrics: m, options: o, invalidHold: log.RateLimit(event.ServerHoldInvalid),
+		invalidLimit: log.RateLimit(event.ServerLimitInvalid), ring: ring.New[message]("relay", ringCapacity, ring.Block),
 		machine: relay.New(retry.New(o.Retries)), admission: relay.Admission{Lease: o.ConfigLease},
 		submissions: make(map[model.RequestID]*port.RoutedSubmission), requests: make(map[model.RequestID]*relay.Request),
 	}
@@ -321,10 +324,13 @@
 // passOn passes on what a backend server has said about itself: to the allocator before any further
 // request for a server, and to the other instances if the server leaves.
 func (s *Service) passOn(now time.Time, n model.ServerNotice) {
-	s.log.Emit(event.ServerSaid, n.Server, n.Incarnation, n.Leaving, n.HoldFor)
+	s.log.Emit(event.ServerSaid, n.Server, n.Incarnation, n.Leaving, n.HoldFor, n.Limit, n.LimitEnded)
 	if n.Invalid != "" {
 		s.invalidHold.Emit(now, n.Server, n.Invalid, n.HoldFor)
 	}
+	if n.InvalidLimit != "" {
+		s.invalidLimit.Emit(now, n.Server, n.InvalidLimit)
+	}
 	s.allocate.Notify(n)
 	if n.Leaving {
 		s.registry.MarkLeaving(n.Server, n.Incarnation)
