Keep the limits that servers name, over all instances together

Cause: the header with the limit was not read, and the dispatcher knows servers by slots only: what a server runs at once, not what it takes in a second. Class of fault: a word of a server that no decision uses. Elsewhere: the other two words, Server-Leaving and Retry-After, are. Change: the dispatcher fills one bucket a server at the rate named, empty at first and after a change of the dispatcher; instances that decide alone use their share of it in turns that do not add up; the share of instances that may decide alone is set aside. Capacity counts as what the limits leave, so that refusals come early and with a time that holds. Short requests leave a limit to long ones while a slot elsewhere will do and they have time, since each request costs the same of it. Why it works: all grants of a fleet pass the one bucket, and without it no two instances have their turn at the same time on average.

--- a/internal/decide/schedule/decide.go
+++ b/internal/decide/schedule/decide.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -106,7 +107,7 @@
 			b := v.choose(now, q, c)
 			if b != nil {
 				s.grant(now, v, q, b)
-				c.takeSlot(b)
+				c.takeSlot(now, b)
 			}
 			return b != nil
 		})
@@ -135,18 +136,20 @@
 // candidates collects the servers that can be granted a request now.
 func (v *service) candidates(now time.Time) *candidates {
 	c := &candidates{servers: make([]*server, 0, len(v.servers))}
+	total := 0.0
 	for i := range v.servers {
 		// The start rotates, so that servers of equal cost take turns.
 		b := v.servers[(v.nextServer+i)%len(v.servers)]
 		if !b.usable(now) {
 			continue
 		}
-		c.totalSlots += b.slots()
-		if free := b.slots() - len(b.granted); free > 0 && !b.suspect {
+		total += b.effectiveSlots(now, v.meanRequestTime())
+		if free := b.freeSlots(now); free > 0 && !b.suspect {
 			c.servers = append(c.servers, b)
 			c.freeSlots += free
 		}
 	}
+	c.totalSlots = int(math.Ceil(total))
 	c.updateMinDecode()
 	return c
 }
@@ -163,11 +166,11 @@
 
 // takeSlot accounts for a grant to a server. It moves the server to the end of the list, or removes
 // it if it has no slot left.
-func (c *candidates) takeSlot(b *server) {
+func (c *candidates) takeSlot(now time.Time, b *server) {
 	c.freeSlots--
 	at := slices.Index(c.servers, b)
 	c.servers = slices.Delete(c.servers, at, at+1)
-	if len(b.granted) < b.slots() {
+	if b.freeSlots(now) > 0 {
 		c.servers = append(c.servers, b)
 		return
 	}
@@ -251,7 +254,7 @@
 		if compared == maxCompared {
 			break
 		}
-		if b.isHeldFor(now, q.ID.Instance) || !b.hasRoom(&q.Request) || slices.Contains(q.Tried, b.record.ID) || !serves(&b.record, q.Model) {
+		if b.isHeldFor(now, q.ID.Instance) || !b.hasRoom(&q.Request) || slices.Contains(q.Tried, b.record.ID) || !serves(&b.record, q.Model) || v.leavesLimit(now, q, b) {
 			continue
 		}
 		compared++
@@ -262,7 +265,7 @@
 		if v.engine != nil && firstEvent+b.estimateRest(q.likely) > remaining && !c.halfFree() {
 			continue
 		}
-		cost := b.cost(&q.Request, q.events)
+		cost := b.cost(&q.Request, q.events) + v.limitCost(now, q, b)
 		if long {
 			cost += time.Duration(overrunWeight * float64(max(firstEvent+b.estimateRest(endMargin*q.events)-remaining, 0)))
 		} else if v.engine != nil && b.slots()-len(b.granted) <= reservedFastSlots && float64(b.decode) < fastRatio*float64(meanDecode) {
@@ -289,9 +292,13 @@
 	in := Inputs{
 		Waited: now.Sub(q.Arrived), Waiting: len(s.waiting), Running: len(b.granted), Pending: b.pendingPrompt, Estimate: estimate,
 	}
+	if b.isLimited(now) {
+		in.Limit = b.limit.perSecond
+	}
 	if !b.lastProgress.IsZero() {
 		in.Age = now.Sub(b.lastProgress)
 	}
+	b.limit.take(now)
 	b.addWork(now, Work{
 		ID: q.ID, Service: v.id, Server: b.record.ID, Team: q.Team, Rank: q.Rank, Prompt: q.Prompt, Output: q.Output, Expected: q.Expected,
 	}, estimate)
--- a/internal/decide/schedule/estimate.go
+++ b/internal/decide/schedule/estimate.go
@@ -1,13 +1,18 @@
 package schedule
 
 import (
+	"math"
 	"time"
 )
 
 // serviceStats aggregates the servers of a service.
 type serviceStats struct {
-	// slots is the number of slots of all usable servers.
+	// slots is the number of slots of all usable servers that can be in use.
 	slots int
+	// unlimitedSlots is the number of slots of usable servers without a named limit.
+	unlimitedSlots int
+	// limited is the number of usable servers with a named limit.
+	limited int
 	// prefill, decode and plain are the mean times per prompt token, event and plain answer.
 	prefill, decode, plain time.Duration
 	// minPrefill and minDecode are the shortest times of any server.
@@ -26,9 +31,15 @@
 	}
 	v.statsTime = now
 	stats := serviceStats{minPrefill: defaultPrefill, minDecode: defaultDecode}
+	slots := 0.0
 	for i, b := range v.servers {
 		if b.usable(now) {
-			stats.slots += b.slots()
+			slots += b.effectiveSlots(now, v.meanRequestTime())
+			if b.isLimited(now) {
+				stats.limited++
+			} else {
+				stats.unlimitedSlots += b.slots()
+			}
 		}
 		if i == 0 || b.prefill < stats.minPrefill {
 			stats.minPrefill = b.prefill
@@ -37,6 +48,7 @@
 			stats.minDecode = b.decode
 		}
 	}
+	stats.slots = int(math.Ceil(slots))
 	stats.prefill = v.mean(func(b *server) time.Duration { return b.prefill }, defaultPrefill)
 	stats.decode = v.mean(func(b *server) time.Duration { return b.decode }, defaultDecode)
 	stats.plain = v.mean(func(b *server) time.Duration { return b.plain }, defaultPlain)
--- a/internal/decide/schedule/notice.go
+++ b/internal/decide/schedule/notice.go
@@ -10,8 +10,9 @@
 // HandleNotice takes what a backend server has said about itself in an answer to an instance. A server
 // that leaves is granted to nobody any more. A server that wants no request for a while is not granted to
 // that instance until then; the other instances may still use it, since the server speaks of that instance
-// alone.
-func (s *Scheduler) HandleNotice(now time.Time, instance model.InstanceID, n model.ServerNotice) {
+// alone. A named limit holds for all instances together; HandleNotice
+// reports whether one has changed.
+func (s *Scheduler) HandleNotice(now time.Time, instance model.InstanceID, n model.ServerNotice) (limitChanged bool) {
 	for _, v := range s.services {
 		b := v.byID[n.Server]
 		if b == nil || n.Incarnation < b.record.Incarnation {
@@ -21,11 +22,17 @@
 			b.leaving = n.Incarnation
 			v.statsTime = time.Time{}
 		}
+		if n.Limit > 0 && b.limit.name(now, n.Incarnation, n.Limit) || n.LimitEnded && b.limit.end(now, n.Incarnation) {
+			limitChanged = true
+			v.statsTime = time.Time{}
+			s.updateLimitShares(v)
+		}
 		if n.HoldFor > 0 {
 			b.hold(now, instance, n.Incarnation, now.Add(n.HoldFor))
 			s.denyHeld(now, v, instance)
 		}
 	}
+	return limitChanged
 }
 
 // hold records that an incarnation of the server wants no request of an instance until a time.
--- a/internal/decide/schedule/partition.go
+++ b/internal/decide/schedule/partition.go
@@ -18,6 +18,7 @@
 func (s *Scheduler) assignSlots() {
 	for _, v := range s.services {
 		v.assignSlots(s.partition)
+		s.updateLimitShares(v)
 	}
 }
 
--- a/internal/decide/schedule/scheduler.go
+++ b/internal/decide/schedule/scheduler.go
@@ -52,6 +52,9 @@
 	granted   map[model.RequestID]*server
 	decisions []Decision
 	partition partition
+	// joinedShare is the share of the limits of the fleet that is not left to instances which may decide
+	// alone.
+	joinedShare float64
 }
 
 // service holds the queue and the servers of one service.
@@ -72,6 +75,8 @@
 	noServerSince time.Time
 	// partitioned is set if this scheduler uses only the slots of its partition.
 	partitioned bool
+	// meanTime is the mean time of a granted request, or zero.
+	meanTime time.Duration
 	// stats caches the aggregate of the servers, computed at statsTime.
 	stats     serviceStats
 	statsTime time.Time
@@ -84,7 +89,7 @@
 	return &Scheduler{
 		options: o, limits: allotment.New(o.Tolerance, o.Share),
 		services: make(map[model.PoolID]*service), waiting: make(map[model.RequestID]*queuedRequest),
-		granted: make(map[model.RequestID]*server),
+		granted: make(map[model.RequestID]*server), joinedShare: 1,
 	}
 }
 
@@ -303,7 +308,7 @@
 	for _, r := range v.ranks {
 		waiting += r.len()
 	}
-	in := Inputs{Waited: now.Sub(w.Arrived), Waiting: waiting, Running: v.running}
+	in := Inputs{Waited: now.Sub(w.Arrived), Waiting: waiting, Running: v.running, Limited: v.limitedServers(now)}
 	if reason == DeniedAllotment {
 		in.Level, in.Rate = s.limits.Level(w.Team)
 	}
@@ -327,6 +332,7 @@
 	started := w.Started
 	switch r.Outcome {
 	case Finished:
+		s.service(w.Service).recordTime(now.Sub(w.grantedAt))
 		b.recordFirstEvent(now, w, r.First)
 		b.recordFinished(now, r)
 	case Failed:
@@ -335,7 +341,9 @@
 		b.pausedUntil = now.Add(fullPause)
 	case Absent:
 		b.absent, b.absentSequence = true, b.record.Sequence
-	case Began, Cancelled, Unused:
+	case Unused:
+		b.limit.giveBack()
+	case Began, Cancelled:
 	}
 	if r.Refund {
 		s.limits.Refund(now, w.Team, w.Prompt+w.Output)
@@ -357,8 +365,17 @@
 	}
 }
 
-// SetAllotmentShare sets the share of the allotments that this scheduler hands out.
-func (s *Scheduler) SetAllotmentShare(now time.Time, share float64) { s.limits.SetShare(now, share) }
+// SetAllotmentShare sets the share of the allotments and of the limits of servers that this scheduler hands out.
+func (s *Scheduler) SetAllotmentShare(now time.Time, share float64) {
+	s.limits.SetShare(now, share)
+	if share == s.joinedShare {
+		return
+	}
+	s.joinedShare = share
+	for _, v := range s.services {
+		s.updateLimitShares(v)
+	}
+}
 
 // ResetAllotments resets the levels of the allotments when this scheduler takes over from another
 // one.
--- a/internal/decide/schedule/server.go
+++ b/internal/decide/schedule/server.go
@@ -77,6 +77,8 @@
 	leaving model.Incarnation
 	held    map[model.InstanceID]time.Time
 	heldBy  model.Incarnation
+	// limit is the limit that the server has named.
+	limit rateLimit
 	// suspect is set while a call is overdue.
 	suspect bool
 	// slotLimit is the number of slots that this scheduler may use, if slotLimited.
@@ -99,6 +101,11 @@
 	if s.slotLimited {
 		return s.slotLimit
 	}
+	return s.allSlots()
+}
+
+// allSlots returns the number of requests that the server runs at once, for all schedulers.
+func (s *server) allSlots() int {
 	if s.engine != nil && s.engine.Slots > 0 && (s.record.Slots <= 0 || s.engine.Slots < s.record.Slots) {
 		return s.engine.Slots
 	}
--- a/internal/decide/schedule/types.go
+++ b/internal/decide/schedule/types.go
@@ -80,6 +80,10 @@
 	Estimate time.Duration
 	// Age is the time since an answer of the server last started or finished, or zero if none has.
 	Age time.Duration
+	// Limit is the limit that the server of a grant has named, or zero, and Limited the number of usable
+	// servers of the service with one, for a denial.
+	Limit   float64
+	Limited int
 	// Level and Rate are those of the team's allotment, in its units and units per second, if the
 	// allotment was the reason for a denial.
 	Level, Rate float64
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -43,10 +43,13 @@
 	LogDropped = define(1106, slog.LevelWarn, "log.dropped",
 		"Log lines were dropped because they could not be written as fast as they were produced.", "lines")
 	ScheduleGranted = define(2101, slog.LevelInfo, "schedule.granted",
-		"The dispatcher, or an instance that schedules without it, granted a backend server; the fields are the inputs of the decision and the age of the server's last progress.",
-		"request", "backend_server", "sequence", "waited", "waiting", "running", "pending", "estimate", "age")
+		"The dispatcher, or an instance that schedules without it, granted a backend server; the fields are the inputs of the decision, the age of the server's last progress, and the limit in requests a second that the server has named, or 0.",
+		"request", "backend_server", "sequence", "waited", "waiting", "running", "pending", "estimate", "age", "limit")
 	ScheduleDenied = define(2102, slog.LevelInfo, "schedule.denied",
-		"The dispatcher, or an instance that schedules without it, denied a request.", "request", "reason", "retry_after", "waited", "waiting", "running", "allotment_level", "allotment_rate")
+		"The dispatcher, or an instance that schedules without it, denied a request.", "request", "reason", "retry_after", "waited", "waiting", "running", "allotment_level", "allotment_rate", "limited_servers")
+	ScheduleLimit = define(2105, slog.LevelInfo, "schedule.limit",
+		"The dispatcher was told of a changed limit of a backend server, in requests a second from all instances; 0 if it has ended.",
+		"backend_server", "incarnation", "limit", "instance")
 	ScheduleJoined = define(2103, slog.LevelInfo, "schedule.joined",
 		"An instance joined this dispatcher and sends its requests to it.", "instance", "session")
 	AllocateFollows = define(2104, slog.LevelInfo, "allocate.follows",
--- a/internal/service/allocate/service.go
+++ b/internal/service/allocate/service.go
@@ -233,8 +233,8 @@
 	switch {
 	case !d.LocalDecision:
 	case d.Denied:
-		s.log.Emit(event.ScheduleDenied, d.ID.String(), d.Reason.String(), d.RetryAfter, in.Waited, in.Waiting, in.Running, in.Level, in.Rate)
+		s.log.Emit(event.ScheduleDenied, d.ID.String(), d.Reason.String(), d.RetryAfter, in.Waited, in.Waiting, in.Running, in.Level, in.Rate, in.Limited)
 	default:
-		s.log.Emit(event.ScheduleGranted, d.ID.String(), d.Server.ID, d.Server.Sequence, in.Waited, in.Waiting, in.Running, in.Pending, in.Estimate, in.Age)
+		s.log.Emit(event.ScheduleGranted, d.ID.String(), d.Server.ID, d.Server.Sequence, in.Waited, in.Waiting, in.Running, in.Pending, in.Estimate, in.Age, in.Limit)
 	}
 }
--- a/internal/service/scheduler/service.go
+++ b/internal/service/scheduler/service.go
@@ -230,7 +230,7 @@
 		}
 	case port.ServerNoticeMessage:
 		if b.Session == sess.id {
-			s.scheduler.HandleNotice(now, m.From, b.Notice)
+			s.handleNotice(now, m.From, b.Notice)
 		}
 	case port.OutcomeMessage:
 		if b.Session == sess.id {
@@ -241,6 +241,12 @@
 	}
 }
 
+func (s *Service) handleNotice(now time.Time, from model.InstanceID, n model.ServerNotice) {
+	if s.scheduler.HandleNotice(now, from, n) {
+		s.log.Emit(event.ScheduleLimit, n.Server, n.Incarnation, n.Limit, from)
+	}
+}
+
 // handleGrantedWork replaces all that the scheduler holds of an instance by the granted requests that
 // the instance reports.
 func (s *Service) handleGrantedWork(now time.Time, from model.InstanceID, works []schedule.Work) {
@@ -265,10 +271,10 @@
 	for _, d := range s.scheduler.Take() {
 		in := &d.Inputs
 		if d.Denied {
-			s.log.Emit(event.ScheduleDenied, d.ID.String(), d.Reason.String(), d.RetryAfter, in.Waited, in.Waiting, in.Running, in.Level, in.Rate)
+			s.log.Emit(event.ScheduleDenied, d.ID.String(), d.Reason.String(), d.RetryAfter, in.Waited, in.Waiting, in.Running, in.Level, in.Rate, in.Limited)
 			s.metrics.Counter(metric.ScheduleDecisions, d.Reason.String()).Inc(1)
 		} else {
-			s.log.Emit(event.ScheduleGranted, d.ID.String(), d.Server.ID, d.Server.Sequence, in.Waited, in.Waiting, in.Running, in.Pending, in.Estimate, in.Age)
+			s.log.Emit(event.ScheduleGranted, d.ID.String(), d.Server.ID, d.Server.Sequence, in.Waited, in.Waiting, in.Running, in.Pending, in.Estimate, in.Age, in.Limit)
 			s.metrics.Counter(metric.ScheduleDecisions, "granted").Inc(1)
 		}
 		sess := s.sessions[d.ID.Instance]
--- a/internal/wire/routedwire/codec.go
+++ b/internal/wire/routedwire/codec.go
@@ -37,6 +37,7 @@
 		env.Body = &pb.Envelope_ServerNotice{ServerNotice: &pb.ServerNotice{
 			Session: m.Session, Server: string(m.Notice.Server), Incarnation: uint64(m.Notice.Incarnation),
 			Leaving: m.Notice.Leaving, HoldUs: m.Notice.HoldFor.Microseconds(),
+			Limit: m.Notice.Limit, LimitEnded: m.Notice.LimitEnded,
 		}}
 	case port.JoinedMessage:
 		env.Body = &pb.Envelope_Joined{Joined: &pb.Joined{Session: m.Session}}
@@ -244,11 +245,13 @@
 
 func decodeNotice(n *pb.ServerNotice) (any, error) {
 	holdFor := micros(n.GetHoldUs())
-	if n.GetServer() == "" || n.GetHoldUs() < 0 || n.GetHoldUs() > model.MaxServerHold.Microseconds() {
+	limited := n.GetLimit() >= model.MinServerLimit && n.GetLimit() <= model.MaxServerLimit
+	if n.GetServer() == "" || n.GetHoldUs() < 0 || n.GetHoldUs() > model.MaxServerHold.Microseconds() || n.GetLimit() != 0 && !limited {
 		return nil, &fault.PeerProtocol{Reason: "notice of a backend server out of range"}
 	}
 	return port.ServerNoticeMessage{Session: n.GetSession(), Notice: model.ServerNotice{
 		Server: model.BackendServerID(n.GetServer()), Incarnation: model.Incarnation(n.GetIncarnation()), Leaving: n.GetLeaving(), HoldFor: holdFor,
+		Limit: n.GetLimit(), LimitEnded: n.GetLimitEnded(),
 	}}, nil
 }
 
