End a resumed stream at an event without an id

Cause: the splitter of events checks that numbered events increase, and passes those without an id as they are. On a stream that continues another one the ids are all that ties the two together. Change: on a resumed stream an event without an id, comments aside, is an error that breaks the stream off.

--- a/internal/httpmsg/events.go
+++ b/internal/httpmsg/events.go
@@ -17,6 +17,8 @@
 	// lastNumber is the value of lastID if numeric is set.
 	lastNumber uint64
 	numeric    bool
+	// resumed is set if the stream continues another one, whose events had ids.
+	resumed bool
 }
 
 // OrderError reports an event whose numeric id is not greater than that of the previous event.
@@ -24,6 +26,14 @@
 
 func (e *OrderError) Error() string { return "event " + e.Got + " follows event " + e.Before }
 
+// MissingIDError reports an event without an id in a stream that continues another one. It may be the text of
+// an error, which would end up in the middle of the answer.
+type MissingIDError struct{ Before string }
+
+func (e *MissingIDError) Error() string {
+	return "an event without an id follows event " + e.Before + " of another server"
+}
+
 // EventTooLongError reports an event that is longer than the limit in bytes.
 type EventTooLongError struct{ Limit int }
 
@@ -36,8 +46,11 @@
 	return &EventSplitter{maxEventBytes: maxEventBytes}
 }
 
-// ResumeAfter sets the id of the event after which the stream continues.
-func (e *EventSplitter) ResumeAfter(id string) { e.setLast([]byte(id)) }
+// ResumeAfter sets the id of the event after which the stream continues. Its events must have ids.
+func (e *EventSplitter) ResumeAfter(id string) {
+	e.setLast([]byte(id))
+	e.resumed = true
+}
 
 // setLast stores the id of an event, and its value if the id is a number.
 func (e *EventSplitter) setLast(id []byte) {
@@ -55,9 +68,9 @@
 func (e *EventSplitter) PendingBytes() int { return len(bytes.TrimSpace(e.pending)) }
 
 // Feed adds data and returns the bytes and the number of the events that it completes. The returned
-// slice belongs to the caller. An event out of order is reported as an *OrderError, an event that is too
-// long as an *EventTooLongError; neither that event nor any after it is returned, and no more data may
-// be added.
+// slice belongs to the caller. An event out of order is reported as an *OrderError, one without an id in a
+// resumed stream as a *MissingIDError, an event that is too long as an *EventTooLongError; neither that event
+// nor any after it is returned, and no more data may be added.
 func (e *EventSplitter) Feed(data []byte) (whole []byte, events int, err error) {
 	e.pending = append(e.pending, data...)
 	consumed := 0
@@ -75,10 +88,8 @@
 			e.searched = length
 			break
 		}
-		if id := eventID(e.pending[consumed : consumed+end]); id != nil {
-			if err = e.advance(id); err != nil {
-				break
-			}
+		if err = e.check(e.pending[consumed : consumed+end]); err != nil {
+			break
 		}
 		consumed += end
 		events++
@@ -94,6 +105,28 @@
 	return whole, events, err
 }
 
+// check checks the id of the next event and stores it.
+func (e *EventSplitter) check(event []byte) error {
+	id := eventID(event)
+	switch {
+	case id != nil:
+		return e.advance(id)
+	case e.resumed && !isComment(event):
+		return &MissingIDError{Before: e.lastID}
+	}
+	return nil
+}
+
+// isComment reports whether an event has no fields. Servers send comments to keep connections open.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // advance stores the id of the next event. Ids that are numbers must increase; for one that does not,
 // it keeps the previous id and returns an *OrderError.
 func (e *EventSplitter) advance(id []byte) error {
