Keep small limits of servers longer, and take limits only from a request's own answer

What callers saw: nothing; found by reading the code of the limits. Cause: a limit was forgotten 10 s after it was last named. A server that takes one request in 10 s names it once in that time, and would have got a burst in between. And a late copy of another request's answer could set a limit that the server had given up. Change: a limit holds until three of the requests that it allows would have been sent; only the answer to the request itself sets or ends it. Tests: TestASmallLimitHoldsLonger (0 of 0.1 after 29 s before), TestTheLimitOfAServerIsPassedOn with a late answer that names 9 (9 before).

--- a/internal/decide/hold/table.go
+++ b/internal/decide/hold/table.go
@@ -9,11 +9,13 @@
 const (
 	// maxEntries bounds the servers of a table; a fleet has some hundreds.
 	maxEntries = 4096
-	// LimitTTL is how long a limit holds after the server last named it. A server names it in each answer;
-	// one that gets no requests cannot say that it has ended.
-	LimitTTL = 10 * time.Second
+	// minLimitTTL is how long a limit holds at least after the server last named it. A server names it in each
+	// answer; one that gets no requests cannot say that it has ended.
+	minLimitTTL = 10 * time.Second
+	// limitTTLRequests is the number of requests that a limit must allow before it is forgotten.
+	limitTTLRequests = 3
 	// limitRenewal is the time after which a limit that is named again counts as news, so that it is passed
-	// on well within LimitTTL.
+	// on well within minLimitTTL.
 	limitRenewal = 2 * time.Second
 )
 
@@ -42,6 +44,11 @@
 	namedAt, renewedAt time.Time
 }
 
+// LimitTTL returns how long a limit in requests per second holds after the server last named it.
+func LimitTTL(perSecond float64) time.Duration {
+	return max(minLimitTTL, time.Duration(limitTTLRequests/perSecond*float64(time.Second)))
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: make(map[model.BackendServerID]entry)} }
 
@@ -96,7 +103,9 @@
 func (e *entry) barred(now time.Time) bool { return e.Leaving || now.Before(e.Until) }
 
 // limited reports whether the server has a limit now.
-func (e *entry) limited(now time.Time) bool { return e.limit > 0 && now.Sub(e.namedAt) < LimitTTL }
+func (e *entry) limited(now time.Time) bool {
+	return e.limit > 0 && now.Sub(e.namedAt) < LimitTTL(e.limit)
+}
 
 // matters reports whether the word still says anything.
 func (e *entry) matters(now time.Time) bool { return e.barred(now) || e.limited(now) }
--- a/internal/decide/hold/table_test.go
+++ b/internal/decide/hold/table_test.go
@@ -84,6 +84,15 @@
 	g.Expect(table.Notices(start.Add(5 * time.Second))).To(Equal([]model.ServerNotice{named(3)}))
 }
 
+// Guards against a small limit that is forgotten between two of the requests that it allows.
+func TestASmallLimitHoldsLonger(t *testing.T) {
+	g := NewWithT(t)
+	table := hold.NewTable()
+	table.Apply(start, named(0.1))
+	g.Expect(limit(table, 29*time.Second, 1)).To(Equal(0.1))
+	g.Expect(limit(table, 30*time.Second, 1)).To(BeZero())
+}
+
 // Guards against a limit that is ended by an answer to an earlier request, which only arrives late, and by
 // a word about something else.
 func TestOnlyAnAnswerToALaterRequestEndsALimit(t *testing.T) {
--- a/internal/decide/schedule/limit.go
+++ b/internal/decide/schedule/limit.go
@@ -63,7 +63,7 @@
 
 // holds reports whether the limit applies to an incarnation now.
 func (l *rateLimit) holds(now time.Time, incarnation model.Incarnation) bool {
-	return l.perSecond > 0 && l.by == incarnation && now.Sub(l.namedAt) < hold.LimitTTL
+	return l.perSecond > 0 && l.by == incarnation && now.Sub(l.namedAt) < hold.LimitTTL(l.perSecond)
 }
 
 // fill adds the tokens of the time that has passed.
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -264,13 +264,16 @@
 
 // passOnNotice passes on what the server says about itself. The answer need not belong to this request,
 // and the call may have been cancelled: the server speaks for itself on its own connection. Only an answer to
-// this request can end a limit, because another one may be late.
+// this request sets or ends a limit, because another one may be late.
 func (c *call) passOnNotice(note *port.AnswerMetadata, own bool) {
 	n := model.ServerNotice{
 		Server: c.out.Server.ID, Incarnation: c.out.Server.Incarnation, Leaving: note.Leaving, HoldFor: note.HoldFor, Invalid: note.InvalidHoldFor,
-		Limit: note.Limit, InvalidLimit: note.InvalidLimit,
 	}
-	if own && note.Limit == 0 && note.InvalidLimit == "" && c.limited(&c.out.Server) {
+	switch {
+	case !own:
+	case note.Limit > 0 || note.InvalidLimit != "":
+		n.Limit, n.InvalidLimit = note.Limit, note.InvalidLimit
+	case c.limited(&c.out.Server):
 		n.LimitEnded, n.SentAt = true, c.startedAt
 	}
 	if n.Leaving || n.HoldFor > 0 || n.Limit > 0 || n.LimitEnded || n.InvalidLimit != "" {
--- a/internal/service/httpbackend/notice_test.go
+++ b/internal/service/httpbackend/notice_test.go
@@ -127,6 +127,10 @@
 	g := NewWithT(t)
 	s := serve(t, func(w net.Conn, r *http.Request, _ int) bool {
 		attempt := r.Header.Get("Attempt")
+		if attempt == "2" {
+			// A late answer to another request says nothing of the limit.
+			reply(w, "0", "Limit: 9\r\n", "late")
+		}
 		reply(w, attempt, map[string]string{"1": "Limit: 2.5\r\n", "2": "Limit: 1\r\n"}[attempt], "ok")
 		return true
 	})
