--- a/internal/decide/quarantine/ledger.go
+++ b/internal/decide/quarantine/ledger.go
@@ -14,10 +14,10 @@
 	// clearedTTL is how long the record of a cleared part is kept, so that evidence from before which
 	// arrives late is known to be void.
 	clearedTTL = time.Minute
-	// suspectTTL is how long strikes that condemn nothing are kept.
+	// suspectTTL is how long crashes that lead to no quarantine are kept.
 	suspectTTL = 10 * time.Minute
-	// condemnedTTL is how long a condemned part that nobody asks for is kept after its quarantine.
-	condemnedTTL = time.Hour
+	// quarantinedTTL is how long a quarantined part that nobody asks for is kept after its quarantine.
+	quarantinedTTL = time.Hour
 )
 
 // Ledger holds the evidence against parts of prompts.
@@ -26,31 +26,31 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger { return &Ledger{records: make(map[model.PromptPart]*Record)} }
 
-// Sighting is what an instance has seen of a request.
+// Sighting is what an instance has observed of a request.
 type Sighting struct {
 	// Parts are the parts of its prompt that other requests may share.
 	Parts []model.PromptPart
-	// Crash is the server that has ended before the first event of the answer, and SentAt when the request
+	// Crash is the server that has crashed before the first event of the answer, and SentAt when the request
 	// was sent to it. Both are zero if the answer has begun.
-	Crash  Crash
+	Crash  CrashID
 	SentAt time.Time
 }
 
 // Began reports whether the answer has begun.
-func (s *Sighting) Began() bool { return s.Crash == Crash{} }
+func (s *Sighting) Began() bool { return s.Crash == CrashID{} }
 
 // Observe applies a sighting of this instance and returns the parts whose records have changed.
 func (l *Ledger) Observe(now time.Time, s Sighting) []model.PromptPart {
 	if s.Began() {
 		return l.clear(now, s.Parts)
 	}
-	return l.strike(now, s)
+	return l.recordCrash(now, s)
 }
 
 // clear clears the parts of a request whose answer has begun.
 func (l *Ledger) clear(now time.Time, parts []model.PromptPart) (changed []model.PromptPart) {
 	for _, p := range parts {
-		if r := l.records[p]; r != nil && len(r.Strikes) > 0 {
+		if r := l.records[p]; r != nil && len(r.Crashes) > 0 {
 			l.set(now, r.cleared())
 			changed = append(changed, p)
 		}
@@ -58,12 +58,12 @@
 	return changed
 }
 
-// strike records the end of a server against the parts of a request that had no event yet. If some of them
-// are condemned, they explain it, and the others are not suspected.
-func (l *Ledger) strike(now time.Time, s Sighting) (changed []model.PromptPart) {
+// recordCrash records the crash of a server against the parts of a request that had no event yet. If some of them
+// are quarantined, they explain it, and the others are not suspected.
+func (l *Ledger) recordCrash(now time.Time, s Sighting) (changed []model.PromptPart) {
 	parts := s.Parts
-	if culprits := l.View().culprits(parts); len(culprits) > 0 {
-		parts = culprits
+	if blamed := l.View().blamedParts(parts); len(blamed) > 0 {
+		parts = blamed
 	}
 	for _, p := range parts {
 		r := l.records[p]
@@ -73,11 +73,11 @@
 		if r.has(s.Crash) {
 			continue
 		}
-		// During a quarantine, only requests that were on their way before it end servers.
-		again := r.Condemned() && !now.Before(r.Until)
-		r = r.with(Strike{Crash: s.Crash, SentAt: s.SentAt, At: now})
-		if again || !r.Condemned() && r.convicts() {
-			r.condemn(now)
+		// During a quarantine, only requests that were on their way before it crash servers.
+		again := r.Quarantined() && !now.Before(r.Until)
+		r = r.with(Crash{CrashID: s.Crash, SentAt: s.SentAt, At: now})
+		if again || !r.Quarantined() && r.provesHarm() {
+			r.quarantine(now)
 		}
 		l.set(now, r)
 		changed = append(changed, p)
@@ -105,8 +105,8 @@
 			}
 			r = merged
 		}
-		if !r.Condemned() && r.convicts() {
-			r.condemn(now)
+		if !r.Quarantined() && r.provesHarm() {
+			r.quarantine(now)
 		}
 		l.set(now, r)
 		changed = append(changed, o.Part)
@@ -130,9 +130,9 @@
 	delete(l.records, least.Part)
 }
 
-// compareImportance orders records by level, then by the number of their strikes, then by age.
+// compareImportance orders records by level, then by the number of their crashes, then by age.
 func (r *Record) compareImportance(o *Record) int {
-	return cmp.Or(cmp.Compare(r.Level, o.Level), cmp.Compare(len(r.Strikes), len(o.Strikes)), r.changed.Compare(o.changed), cmp.Compare(r.Part, o.Part))
+	return cmp.Or(cmp.Compare(r.Level, o.Level), cmp.Compare(len(r.Crashes), len(o.Crashes)), r.changed.Compare(o.changed), cmp.Compare(r.Part, o.Part))
 }
 
 // Tick forgets records that have become irrelevant, and reports whether there were any.
@@ -141,11 +141,11 @@
 	for p, r := range l.records {
 		age := now.Sub(r.changed)
 		switch {
-		case r.Condemned():
-			if now.Sub(r.Until) >= condemnedTTL {
+		case r.Quarantined():
+			if now.Sub(r.Until) >= quarantinedTTL {
 				delete(l.records, p)
 			}
-		case len(r.Strikes) == 0 && age >= clearedTTL, age >= suspectTTL:
+		case len(r.Crashes) == 0 && age >= clearedTTL, age >= suspectTTL:
 			delete(l.records, p)
 		}
 	}
--- a/internal/decide/quarantine/ledger_test.go
+++ b/internal/decide/quarantine/ledger_test.go
@@ -17,10 +17,10 @@
 
 func parts(ids ...model.PromptPart) []model.PromptPart { return ids }
 
-// strike lets a server end at a time, 100 ms after a request with the given parts was sent to it.
-func strike(l *quarantine.Ledger, now time.Duration, server int, ids ...model.PromptPart) {
+// crash lets a server end at a time, 100 ms after a request with the given parts was sent to it.
+func crash(l *quarantine.Ledger, now time.Duration, server int, ids ...model.PromptPart) {
 	l.Observe(at(now), quarantine.Sighting{
-		Parts: ids, SentAt: at(now - 100*time.Millisecond), Crash: quarantine.Crash{Server: model.BackendServerID(fmt.Sprint("s", server)), Incarnation: 1},
+		Parts: ids, SentAt: at(now - 100*time.Millisecond), Crash: quarantine.CrashID{Server: model.BackendServerID(fmt.Sprint("s", server)), Incarnation: 1},
 	})
 }
 
@@ -31,51 +31,51 @@
 	return ok
 }
 
-// Guards against a part that ends one server after the other and is never held back.
-func TestAPartIsHeldBackAfterThreeEnds(t *testing.T) {
+// Guards against a part that crashes one server after the other and is never held back.
+func TestAPartIsHeldBackAfterThreeCrashes(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 3 {
-		g.Expect(held(l, "f", "dead")).To(BeFalse(), "after %d ends", n)
-		strike(l, time.Duration(n)*time.Second, n, "f", "dead")
+		g.Expect(held(l, "f", "dead")).To(BeFalse(), "after %d crashes", n)
+		crash(l, time.Duration(n)*time.Second, n, "f", "dead")
 	}
 	g.Expect(held(l, "f", "dead")).To(BeTrue())
-	verdict, ok := l.View().Check(at(3*time.Second), parts("f", "dead"), 0)
+	refusal, ok := l.View().Check(at(3*time.Second), parts("f", "dead"), 0)
 	g.Expect(ok).To(BeTrue())
-	g.Expect(verdict.Strikes).To(Equal(3))
-	g.Expect(verdict.Wait).To(Equal(59 * time.Second))
+	g.Expect(refusal.Crashes).To(Equal(3))
+	g.Expect(refusal.Wait).To(Equal(59 * time.Second))
 }
 
-// Guards against refusing sound requests that share only the first part with the deadly ones: the parts are
+// Guards against refusing sound requests that share only the first part with the harmful ones: the parts are
 // always seen together, and few requests have the first one alone.
-func TestTheNeighbourOfADeadlyPartIsNotHeldBack(t *testing.T) {
+func TestASoundPartBesideAHarmfulOneIsNotHeldBack(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 4 {
-		strike(l, time.Duration(n)*time.Second, n, "first", "dead")
+		crash(l, time.Duration(n)*time.Second, n, "first", "dead")
 	}
 	g.Expect(held(l, "first", "dead")).To(BeTrue())
 	g.Expect(held(l, "first")).To(BeFalse(), "before any answer shows that it is sound")
 	g.Expect(held(l, "first", "other")).To(BeFalse())
 	l.Observe(at(5*time.Second), began("first"))
 	g.Expect(held(l, "first", "dead")).To(BeTrue())
-	g.Expect(held(l, "second", "dead")).To(BeTrue(), "the deadly part alone is left")
-	// Requests that were on their way say nothing more about the neighbour.
-	strike(l, 6*time.Second, 9, "first", "dead")
+	g.Expect(held(l, "second", "dead")).To(BeTrue(), "the harmful part alone is left")
+	// Requests that were on their way say nothing more about the other part.
+	crash(l, 6*time.Second, 9, "first", "dead")
 	r, _ := l.Get("first")
-	g.Expect(r.Strikes).To(BeEmpty())
+	g.Expect(r.Crashes).To(BeEmpty())
 }
 
-// Guards against a deadly part that comes with a new neighbour each time, and against one that is held back
-// only beside its first neighbour for good.
-func TestADeadlyPartIsToldFromSeveralNeighbours(t *testing.T) {
+// Guards against a harmful part that comes with a new other part each time, and against one that is held back
+// only beside its first other part for good.
+func TestAHarmfulPartIsToldFromSeveralOtherParts(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 3 {
-		strike(l, time.Duration(n)*time.Second, n, "a", "dead")
+		crash(l, time.Duration(n)*time.Second, n, "a", "dead")
 	}
 	g.Expect(held(l, "b", "dead")).To(BeFalse(), "either may be the cause")
-	strike(l, 4*time.Second, 5, "b", "dead")
+	crash(l, 4*time.Second, 5, "b", "dead")
 	g.Expect(held(l, "b", "dead")).To(BeTrue())
 	g.Expect(held(l, "c", "dead")).To(BeTrue())
 	g.Expect(held(l, "a")).To(BeFalse())
@@ -83,27 +83,27 @@
 }
 
 // Guards against the first part of the list being taken for sound because of its place.
-func TestTheFirstPartCanBeTheDeadlyOne(t *testing.T) {
+func TestTheFirstPartCanBeTheHarmfulOne(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 3 {
-		strike(l, time.Duration(n)*time.Second, n, "dead", "x")
+		crash(l, time.Duration(n)*time.Second, n, "dead", "x")
 		l.Observe(at(time.Duration(n)*time.Second+300*time.Millisecond), began("y", "x"))
 	}
 	g.Expect(held(l, "dead", "z")).To(BeTrue())
 	g.Expect(held(l, "y", "x")).To(BeFalse())
 }
 
-// Guards against blaming what only ran beside a deadly request: its calls without an event are lost with
+// Guards against blaming what only ran beside a harmful request: its calls without an event are lost with
 // the server as well.
-func TestWhatRunsBesideADeadlyRequestIsNotBlamed(t *testing.T) {
+func TestWhatRunsBesideAHarmfulRequestIsNotBlamed(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 8 {
 		now := time.Duration(n) * time.Second
-		strike(l, now, n, "first", "dead")
-		strike(l, now, n, "popular")
-		strike(l, now, n, model.PromptPart(fmt.Sprint("rare", n)))
+		crash(l, now, n, "first", "dead")
+		crash(l, now, n, "popular")
+		crash(l, now, n, model.PromptPart(fmt.Sprint("rare", n)))
 		l.Observe(at(now+100*time.Millisecond), began("popular"))
 	}
 	g.Expect(held(l, "popular")).To(BeFalse())
@@ -113,52 +113,52 @@
 	g.Expect(held(l, "first", "dead")).To(BeTrue())
 }
 
-// Guards against a loss of power of many servers at once, which ends requests with the same popular part on
+// Guards against a loss of power of many servers at once, which interrupts requests with the same popular part on
 // several of them. The instances notice it at different times.
-func TestServersThatEndTogetherCountOnce(t *testing.T) {
+func TestServersThatCrashTogetherCountOnce(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 20 {
-		sighting := quarantine.Sighting{Parts: parts("popular"), SentAt: at(-50 * time.Millisecond), Crash: quarantine.Crash{Server: model.BackendServerID(fmt.Sprint("s", n))}}
+		sighting := quarantine.Sighting{Parts: parts("popular"), SentAt: at(-50 * time.Millisecond), Crash: quarantine.CrashID{Server: model.BackendServerID(fmt.Sprint("s", n))}}
 		l.Observe(at(time.Duration(n)*10*time.Millisecond), sighting)
 	}
 	g.Expect(held(l, "popular")).To(BeFalse())
 	l.Observe(at(300*time.Millisecond), began("popular"))
-	strike(l, 800*time.Millisecond, 22, "popular")
+	crash(l, 800*time.Millisecond, 22, "popular")
 	g.Expect(held(l, "popular")).To(BeFalse())
 }
 
-// Guards against a deadly part of which so many requests are on their way that all servers of a small service
-// end twice before three ends follow each other.
-func TestManyRequestsAtOnceConvictAtTheFifthEnd(t *testing.T) {
+// Guards against a harmful part of which so many requests are on their way that all servers of a small service
+// crash twice before three crashes are in sequence.
+func TestManyRequestsAtOnceProveHarmAtTheFifthCrash(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 5 {
-		g.Expect(held(l, "dead")).To(BeFalse(), "after %d ends", n)
-		strike(l, time.Duration(n/3)*3*time.Second+time.Duration(n)*20*time.Millisecond, n, "dead")
+		g.Expect(held(l, "dead")).To(BeFalse(), "after %d crashes", n)
+		crash(l, time.Duration(n/3)*3*time.Second+time.Duration(n)*20*time.Millisecond, n, "dead")
 	}
 	g.Expect(held(l, "dead")).To(BeTrue())
 }
 
-// Guards against several calls on one server counting as several ends.
-func TestOneEndCountsOnce(t *testing.T) {
+// Guards against several calls on one server counting as several crashes.
+func TestOneCrashCountsOnce(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 6 {
-		strike(l, time.Duration(n)*time.Second, 1, "p")
+		crash(l, time.Duration(n)*time.Second, 1, "p")
 	}
 	r, _ := l.Get("p")
-	g.Expect(r.Strikes).To(HaveLen(1))
+	g.Expect(r.Crashes).To(HaveLen(1))
 	g.Expect(held(l, "p")).To(BeFalse())
 }
 
 // Guards against a part that is held back for good after it is sound again, or after it was blamed wrongly,
-// and against trials that end one server after the other.
-func TestAQuarantineEndsWithTrials(t *testing.T) {
+// and against probes that crash one server after the other.
+func TestAQuarantineEndsWithProbes(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 3 {
-		strike(l, time.Duration(n)*time.Second, n, "dead")
+		crash(l, time.Duration(n)*time.Second, n, "dead")
 	}
 	first, second := quarantine.NewGate(), quarantine.NewGate()
 	second.SetPosition(1)
@@ -172,7 +172,7 @@
 	g.Expect(check(second, 62*time.Second)).To(BeTrue(), "another instance tries later")
 	g.Expect(first.Sent(at(62*time.Second), parts("dead"))).To(BeTrue())
 	g.Expect(check(first, 63*time.Second)).To(BeTrue(), "one request at a time")
-	strike(l, 63*time.Second, 10, "dead")
+	crash(l, 63*time.Second, 10, "dead")
 	g.Expect(check(first, 182*time.Second)).To(BeTrue(), "the next quarantine is twice as long")
 	g.Expect(check(second, 182*time.Second)).To(BeTrue())
 	g.Expect(check(first, 183*time.Second)).To(BeFalse())
@@ -180,15 +180,15 @@
 	g.Expect(held(l, "dead")).To(BeFalse())
 	g.Expect(check(first, 184*time.Second)).To(BeFalse())
 	g.Expect(check(second, 184*time.Second)).To(BeFalse())
-	g.Expect(first.Sent(at(185*time.Second), parts("dead"))).To(BeFalse(), "no trial")
+	g.Expect(first.Sent(at(185*time.Second), parts("dead"))).To(BeFalse(), "no probe")
 }
 
-// Guards against an instance that holds a part back for good because its trial had no outcome.
-func TestATrialWithoutOutcomeIsRepeated(t *testing.T) {
+// Guards against an instance that holds a part back for good because its probe had no outcome.
+func TestAProbeWithoutOutcomeIsRepeated(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 3 {
-		strike(l, time.Duration(n)*time.Second, n, "p")
+		crash(l, time.Duration(n)*time.Second, n, "p")
 	}
 	gate := quarantine.NewGate()
 	gate.SetView(l.View())
@@ -200,32 +200,32 @@
 }
 
 // Guards against requests that were on their way when the quarantine began, and that make it longer.
-func TestEndsDuringAQuarantineDoNotProlongIt(t *testing.T) {
+func TestCrashesDuringAQuarantineDoNotProlongIt(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 8 {
-		strike(l, time.Duration(n)*300*time.Millisecond, n, "dead")
+		crash(l, time.Duration(n)*300*time.Millisecond, n, "dead")
 	}
 	r, _ := l.Get("dead")
 	g.Expect(r.Level).To(Equal(1))
 	g.Expect(r.Until).To(Equal(at(60*time.Second + 600*time.Millisecond)))
 }
 
-// Guards against a ledger that grows with the parts that requests bring, and against losing a condemned part
+// Guards against a ledger that grows with the parts that requests bring, and against losing a quarantined part
 // to a flood of them.
 func TestALedgerIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger()
 	for n := range 3 {
-		strike(l, time.Duration(n)*time.Second, n, "dead")
+		crash(l, time.Duration(n)*time.Second, n, "dead")
 	}
 	for n := range 4_000 {
-		strike(l, 3*time.Second, n+10, model.PromptPart(fmt.Sprint("p", n)))
+		crash(l, 3*time.Second, n+10, model.PromptPart(fmt.Sprint("p", n)))
 	}
 	g.Expect(l.Len()).To(BeNumerically("<=", 1024))
 	g.Expect(held(l, "dead")).To(BeTrue())
 	g.Expect(l.Tick(at(time.Hour))).To(BeTrue())
-	g.Expect(l.Len()).To(Equal(1), "only the condemned part is left")
+	g.Expect(l.Len()).To(Equal(1), "only the quarantined part is left")
 	l.Tick(at(3 * time.Hour))
 	g.Expect(l.Len()).To(BeZero())
 }
--- a/internal/decide/quarantine/merge_test.go
+++ b/internal/decide/quarantine/merge_test.go
@@ -21,7 +21,7 @@
 	to.Merge(now.Add(shift), list)
 }
 
-// Guards against evidence that counts only at the instance that has seen it: each end is seen by another
+// Guards against evidence that counts only at the instance that has seen it: each crash is seen by another
 // instance, whose clocks differ.
 func TestEvidenceOfSeveralInstancesCounts(t *testing.T) {
 	g := NewWithT(t)
@@ -29,15 +29,15 @@
 	for n := range 3 {
 		now := at(time.Duration(n) * time.Second)
 		entry := quarantine.NewLedger()
-		strike(entry, time.Duration(n)*time.Second, n, "first", "dead")
+		crash(entry, time.Duration(n)*time.Second, n, "first", "dead")
 		send(entry, core, now, time.Hour)
 	}
 	g.Expect(held(core, "first", "dead")).To(BeTrue())
 	restarted := quarantine.NewLedger()
 	send(core, restarted, at(time.Hour+4*time.Second), -time.Hour)
 	g.Expect(held(restarted, "first", "dead")).To(BeTrue(), "an instance that has restarted learns it")
-	verdict, _ := restarted.View().Check(at(4*time.Second), parts("first", "dead"), 0)
-	g.Expect(verdict.Wait).To(Equal(58 * time.Second))
+	refusal, _ := restarted.View().Check(at(4*time.Second), parts("first", "dead"), 0)
+	g.Expect(refusal.Wait).To(Equal(58 * time.Second))
 }
 
 // Guards against late evidence that brings back what an answer has refuted.
@@ -45,7 +45,7 @@
 	g := NewWithT(t)
 	a, b := quarantine.NewLedger(), quarantine.NewLedger()
 	for n := range 3 {
-		strike(a, time.Duration(n)*time.Second, n, "p")
+		crash(a, time.Duration(n)*time.Second, n, "p")
 	}
 	send(a, b, at(3*time.Second), 0)
 	b.Observe(at(4*time.Second), began("p"))
@@ -56,15 +56,15 @@
 	g.Expect(held(a, "p")).To(BeFalse())
 }
 
-// Guards against a trial that ends a server and counts once for each instance that hears of it.
-func TestATrialThatFailsCountsOnce(t *testing.T) {
+// Guards against a probe that crashes a server and counts once for each instance that hears of it.
+func TestAProbeThatFailsCountsOnce(t *testing.T) {
 	g := NewWithT(t)
 	a, b := quarantine.NewLedger(), quarantine.NewLedger()
 	for n := range 3 {
-		strike(a, time.Duration(n)*time.Second, n, "p")
+		crash(a, time.Duration(n)*time.Second, n, "p")
 	}
 	send(a, b, at(3*time.Second), 0)
-	strike(a, 70*time.Second, 9, "p")
+	crash(a, 70*time.Second, 9, "p")
 	for range 3 {
 		send(a, b, at(71*time.Second), 0)
 		send(b, a, at(71*time.Second), 0)
@@ -93,7 +93,7 @@
 			case 1:
 				send(pick(), pick(), now, 0)
 			default:
-				strike(pick(), now.Sub(start), rapid.IntRange(0, 30).Draw(t, "server"), part.Draw(t, "part"), part.Draw(t, "part"))
+				crash(pick(), now.Sub(start), rapid.IntRange(0, 30).Draw(t, "server"), part.Draw(t, "part"), part.Draw(t, "part"))
 			}
 		}
 		for range len(ledgers) {
@@ -107,7 +107,7 @@
 			want, _ := ledgers[0].Get(p)
 			for _, l := range ledgers[1:] {
 				got, _ := l.Get(p)
-				if got.Generation != want.Generation || got.Level != want.Level || len(got.Strikes) != len(want.Strikes) {
+				if got.Generation != want.Generation || got.Level != want.Level || len(got.Crashes) != len(want.Crashes) {
 					t.Fatalf("%s: %+v and %+v", p, want, got)
 				}
 			}
--- a/internal/decide/quarantine/record.go
+++ b/internal/decide/quarantine/record.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	// chainToCondemn is the length of the chain of strikes that puts a part under quarantine. Two servers
-	// may end by chance while requests with the same rare part wait on them.
-	chainToCondemn = 3
-	// shortChain is the length that suffices with manyStrikes strikes. Many requests with a deadly part may
-	// be on their way at once, so that the chain grows slowly.
-	shortChain, manyStrikes = 2, 5
-	// MaxStrikes bounds the strikes of a record; the newest are kept.
-	MaxStrikes = 16
+	// minSequence is the number of crashes in sequence that puts a part under quarantine. Two servers may
+	// crash by chance while requests with the same rare part wait on them.
+	minSequence = 3
+	// minSequenceOfMany is the number that suffices among manyCrashes crashes. Many requests with a harmful
+	// part may be on their way at once, so that few crashes are in sequence.
+	minSequenceOfMany, manyCrashes = 2, 5
+	// MaxCrashes bounds the crashes of a record; the newest are kept.
+	MaxCrashes = 16
 	// firstTerm is the length of the first quarantine of a part. Each further one is twice as long, up to
 	// level MaxLevel.
 	firstTerm = 60 * time.Second
@@ -23,15 +23,15 @@
 	MaxLevel = 5
 )
 
-// Crash identifies the end of a server.
-type Crash struct {
+// CrashID identifies the crash of a server.
+type CrashID struct {
 	Server      model.BackendServerID
 	Incarnation model.Incarnation
 }
 
-// Strike is the end of a server while a request with the part had no event yet.
-type Strike struct {
-	Crash
+// Crash is a crash of a server while a request with the part had no event yet.
+type Crash struct {
+	CrashID
 	// SentAt is when the request was sent, At when its answer was lost.
 	SentAt, At time.Time
 }
@@ -41,58 +41,57 @@
 	Part model.PromptPart
 	// Generation counts how often the part has been cleared. The evidence of earlier generations is void.
 	Generation uint64
-	// Strikes are sorted by time.
-	Strikes []Strike
+	// Crashes are sorted by time.
+	Crashes []Crash
 	// Level counts the quarantines of this generation; 0 means that there was none.
 	Level int
-	// Until is the end of the quarantine, if Level is positive. Trials follow.
+	// Until is the end of the quarantine, if Level is positive. Probes follow.
 	Until time.Time
 	// changed is when the record last changed here.
 	changed time.Time
 }
 
-// Condemned reports whether the part is under quarantine or on trial.
-func (r *Record) Condemned() bool { return r.Level > 0 }
+// Quarantined reports whether the part is under quarantine, or probed after one.
+func (r *Record) Quarantined() bool { return r.Level > 0 }
 
-// convicts reports whether the strikes put the part under quarantine.
-func (r *Record) convicts() bool {
-	n := r.chain()
-	return n >= chainToCondemn || n >= shortChain && len(r.Strikes) >= manyStrikes
+// provesHarm reports whether the crashes put the part under quarantine.
+func (r *Record) provesHarm() bool {
+	n := r.sequence()
+	return n >= minSequence || n >= minSequenceOfMany && len(r.Crashes) >= manyCrashes
 }
 
-// chain returns the length of the chain of strikes in which each request was sent after the server of the
-// one before had ended. Servers that lose their power together are one link: they say nothing about the
-// requests that they have in common.
-func (r *Record) chain() int {
+// sequence returns the number of crashes in sequence: each request was sent after the crash before. Servers
+// that lose their power together count once: they say nothing about the requests that they have in common.
+func (r *Record) sequence() int {
 	count := 0
 	var last time.Time
-	for _, s := range r.Strikes {
-		if count == 0 || !s.SentAt.Before(last) {
+	for _, c := range r.Crashes {
+		if count == 0 || !c.SentAt.Before(last) {
 			count++
-			last = s.At
+			last = c.At
 		}
 	}
 	return count
 }
 
-// has reports whether a crash is among the strikes.
-func (r *Record) has(c Crash) bool {
-	return slices.ContainsFunc(r.Strikes, func(s Strike) bool { return s.Crash == c })
+// has reports whether a crash is part of the evidence.
+func (r *Record) has(id CrashID) bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.CrashID == id })
 }
 
-// covers reports whether all strikes of another record are also strikes of this one. The part of this
+// hasCrashesOf reports whether all crashes of another record are also crashes of this one. The part of this
 // record may then be the cause of them.
-func (r *Record) covers(o *Record) bool {
-	return !slices.ContainsFunc(o.Strikes, func(s Strike) bool { return !r.has(s.Crash) })
+func (r *Record) hasCrashesOf(o *Record) bool {
+	return !slices.ContainsFunc(o.Crashes, func(c Crash) bool { return !r.has(c.CrashID) })
 }
 
-// with returns a copy of the record with a further strike.
-func (r *Record) with(s Strike) *Record {
+// with returns a copy of the record with a further crash.
+func (r *Record) with(c Crash) *Record {
 	out := *r
-	at, _ := slices.BinarySearchFunc(r.Strikes, s, func(a, b Strike) int { return a.At.Compare(b.At) })
-	out.Strikes = slices.Insert(slices.Clone(r.Strikes), at, s)
-	if n := len(out.Strikes) - MaxStrikes; n > 0 {
-		out.Strikes = out.Strikes[n:]
+	at, _ := slices.BinarySearchFunc(r.Crashes, c, func(a, b Crash) int { return a.At.Compare(b.At) })
+	out.Crashes = slices.Insert(slices.Clone(r.Crashes), at, c)
+	if n := len(out.Crashes) - MaxCrashes; n > 0 {
+		out.Crashes = out.Crashes[n:]
 	}
 	return &out
 }
@@ -105,20 +104,20 @@
 // term returns the length of the quarantine of a level.
 func term(level int) time.Duration { return firstTerm << (level - 1) }
 
-// condemn raises the level and starts a quarantine.
-func (r *Record) condemn(now time.Time) {
+// quarantine raises the level and starts a quarantine.
+func (r *Record) quarantine(now time.Time) {
 	r.Level = min(r.Level+1, MaxLevel)
 	r.Until = now.Add(term(r.Level))
 }
 
 // merge returns the record that results from this one and another one of the same part and generation, and
-// whether it differs from this one. Strikes of the same crash may have different times, of which the
-// earlier counts.
+// whether it differs from this one. Records of the same crash may have different times, of which the
+// one known here counts.
 func (r *Record) merge(o *Record) (*Record, bool) {
 	out, changed := r, false
-	for _, s := range o.Strikes {
-		if !out.has(s.Crash) && (len(out.Strikes) < MaxStrikes || s.At.After(out.Strikes[0].At)) {
-			out, changed = out.with(s), true
+	for _, c := range o.Crashes {
+		if !out.has(c.CrashID) && (len(out.Crashes) < MaxCrashes || c.At.After(out.Crashes[0].At)) {
+			out, changed = out.with(c), true
 		}
 	}
 	if o.Level <= out.Level {
@@ -134,26 +133,26 @@
 type RelativeRecord struct {
 	Part       model.PromptPart
 	Generation uint64
-	Strikes    []RelativeStrike
+	Crashes    []RelativeCrash
 	Level      int
 	// Remaining is the time to the end of the quarantine; it is negative after the end.
 	Remaining time.Duration
 }
 
-// RelativeStrike is a strike with its age, and the time from the sending of its request to the strike.
-type RelativeStrike struct {
-	Crash
+// RelativeCrash is a crash with its age, and the time from the sending of its request to the crash.
+type RelativeCrash struct {
+	CrashID
 	Age, Took time.Duration
 }
 
 // Relative returns the record relative to now.
 func (r *Record) Relative(now time.Time) RelativeRecord {
 	out := RelativeRecord{Part: r.Part, Generation: r.Generation, Level: r.Level}
-	if r.Condemned() {
+	if r.Quarantined() {
 		out.Remaining = r.Until.Sub(now)
 	}
-	for _, s := range r.Strikes {
-		out.Strikes = append(out.Strikes, RelativeStrike{Crash: s.Crash, Age: max(now.Sub(s.At), 0), Took: max(s.At.Sub(s.SentAt), 0)})
+	for _, c := range r.Crashes {
+		out.Crashes = append(out.Crashes, RelativeCrash{CrashID: c.CrashID, Age: max(now.Sub(c.At), 0), Took: max(c.At.Sub(c.SentAt), 0)})
 	}
 	return out
 }
@@ -164,9 +163,9 @@
 	if r.Level > 0 {
 		out.Until = now.Add(r.Remaining)
 	}
-	for _, s := range r.Strikes {
-		out.Strikes = append(out.Strikes, Strike{Crash: s.Crash, SentAt: now.Add(-s.Age - s.Took), At: now.Add(-s.Age)})
+	for _, c := range r.Crashes {
+		out.Crashes = append(out.Crashes, Crash{CrashID: c.CrashID, SentAt: now.Add(-c.Age - c.Took), At: now.Add(-c.Age)})
 	}
-	slices.SortStableFunc(out.Strikes, func(a, b Strike) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(out.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 	return out
 }
--- a/internal/decide/quarantine/view.go
+++ b/internal/decide/quarantine/view.go
@@ -9,11 +9,11 @@
 
 // View is an immutable copy of the evidence of a ledger.
 type View struct {
-	// suspects holds the parts with strikes.
+	// suspects holds the parts with crashes.
 	suspects map[model.PromptPart]*Record
-	// groups holds, for each condemned part, the parts that may as well be the cause of all of its strikes,
-	// itself among them. Requests are held back only if they have all of them, so that those which share only
-	// the neighbours of a deadly part are not.
+	// groups holds, for each quarantined part, the parts that may be the cause of all of its crashes, itself
+	// among them. Requests are held back only if they have all of them, so that those which merely share the
+	// other parts of harmful requests are not.
 	groups map[model.PromptPart][]model.PromptPart
 }
 
@@ -21,16 +21,16 @@
 func (l *Ledger) View() *View {
 	v := &View{suspects: make(map[model.PromptPart]*Record), groups: make(map[model.PromptPart][]model.PromptPart)}
 	for p, r := range l.records {
-		if len(r.Strikes) > 0 {
+		if len(r.Crashes) > 0 {
 			v.suspects[p] = r
 		}
 	}
 	for p, r := range v.suspects {
-		if !r.Condemned() {
+		if !r.Quarantined() {
 			continue
 		}
 		for q, o := range v.suspects {
-			if o.covers(r) {
+			if o.hasCrashesOf(r) {
 				v.groups[p] = append(v.groups[p], q)
 			}
 		}
@@ -39,8 +39,8 @@
 	return v
 }
 
-// CondemnedParts returns the number of parts under quarantine or on trial.
-func (v *View) CondemnedParts() int { return len(v.groups) }
+// QuarantinedParts returns the number of parts under quarantine, or probed after one.
+func (v *View) QuarantinedParts() int { return len(v.groups) }
 
 // Suspected reports whether there is evidence against one of the parts. An answer to a request with them is
 // then worth a sighting.
@@ -48,8 +48,8 @@
 	return v != nil && len(v.suspects) > 0 && slices.ContainsFunc(parts, func(p model.PromptPart) bool { return v.suspects[p] != nil })
 }
 
-// culprits returns the parts of the condemned groups that are all among the given parts.
-func (v *View) culprits(parts []model.PromptPart) (out []model.PromptPart) {
+// blamedParts returns the parts of the groups that are completely among the given parts.
+func (v *View) blamedParts(parts []model.PromptPart) (out []model.PromptPart) {
 	for _, p := range parts {
 		if v.holds(p, parts) {
 			for _, q := range v.groups[p] {
@@ -62,44 +62,44 @@
 	return out
 }
 
-// holds reports whether a part is condemned and its whole group is among the parts of a request.
+// holds reports whether a part is quarantined and its whole group is among the parts of a request.
 func (v *View) holds(p model.PromptPart, parts []model.PromptPart) bool {
 	group := v.groups[p]
 	return len(group) > 0 && !slices.ContainsFunc(group, func(q model.PromptPart) bool { return !slices.Contains(parts, q) })
 }
 
-// Verdict states why a request is held back.
-type Verdict struct {
+// Refusal states why a request is held back.
+type Refusal struct {
 	Part model.PromptPart
-	// Strikes is the number of servers that have ended, as far as they are known.
-	Strikes int
+	// Crashes is the number of servers that have crashed, as far as they are known.
+	Crashes int
 	// Level is the number of quarantines of the part.
 	Level int
-	// Wait is the time to the next trial.
+	// Wait is the time to the next probe.
 	Wait time.Duration
 }
 
-// Check returns the verdict on a request with the given parts if it is to be held back now. trialDelay is
+// Check returns the refusal of a request with the given parts if it is to be held back now. probeDelay is
 // added to the end of each quarantine.
-func (v *View) Check(now time.Time, parts []model.PromptPart, trialDelay time.Duration) (Verdict, bool) {
+func (v *View) Check(now time.Time, parts []model.PromptPart, probeDelay time.Duration) (Refusal, bool) {
 	if v == nil || len(v.groups) == 0 {
-		return Verdict{}, false
+		return Refusal{}, false
 	}
-	var worst Verdict
+	var worst Refusal
 	held := false
 	for _, p := range parts {
-		r := v.suspects[p]
 		if !v.holds(p, parts) {
 			continue
 		}
-		if wait := r.Until.Add(trialDelay).Sub(now); wait > 0 && (!held || wait > worst.Wait) {
-			worst, held = Verdict{Part: p, Strikes: len(r.Strikes), Level: r.Level, Wait: wait}, true
+		r := v.suspects[p]
+		if wait := r.Until.Add(probeDelay).Sub(now); wait > 0 && (!held || wait > worst.Wait) {
+			worst, held = Refusal{Part: p, Crashes: len(r.Crashes), Level: r.Level, Wait: wait}, true
 		}
 	}
 	return worst, held
 }
 
-// Held returns a condemned part of a request that is held back or on trial.
+// Held returns a quarantined part of a request that is held back, or would be a probe.
 func (v *View) Held(parts []model.PromptPart) (model.PromptPart, bool) {
 	if v == nil || len(v.groups) == 0 {
 		return "", false
--- a/internal/decide/relay/machine.go
+++ b/internal/decide/relay/machine.go
@@ -67,7 +67,7 @@
 	budget   *retry.Budget
 	// bars holds what the backend servers have said about themselves to this instance.
 	bars *hold.Table
-	// gate holds back requests with parts of prompts that end servers.
+	// gate holds back requests with parts of prompts that crash servers.
 	gate    *quarantine.Gate
 	effects []Effect
 }
@@ -104,7 +104,7 @@
 // call. Until the answer has begun, the wait is also bounded by the route's patience.
 func (m *Machine) requestServer(now time.Time, s *requestState) {
 	s.phase = awaitingServer
-	if f := m.heldBack(now, s); f != nil {
+	if f := m.quarantined(now, s); f != nil {
 		m.endWithoutRetry(now, s, f)
 		return
 	}
@@ -146,7 +146,7 @@
 		m.endWithoutRetry(now, s, &fault.NotServed{Service: s.Service, Reason: "no time is left", Wait: minCallTime})
 		return
 	}
-	if f := m.heldBack(now, s); f != nil {
+	if f := m.quarantined(now, s); f != nil {
 		m.emit(Report{schedule.Report{ID: d.ID, Server: d.Server.ID, Outcome: schedule.Unused, Refund: s.possibleRuns == 0}})
 		m.endWithoutRetry(now, s, f)
 		return
@@ -161,7 +161,7 @@
 	s.possibleRuns++
 	s.triedServers = append(slices.Clone(s.triedServers), d.Server.ID)
 	m.emit(StartCall{
-		ID: s.ID, Send: s.calls, Server: d.Server, Until: s.Deadline, Resume: s.answerBegan, LastEvent: s.lastEvent, Trial: m.gate.Sent(now, s.Parts),
+		ID: s.ID, Send: s.calls, Server: d.Server, Until: s.Deadline, Resume: s.answerBegan, LastEvent: s.lastEvent, Probe: m.gate.Sent(now, s.Parts),
 		Waited: now.Sub(s.Arrived), WithoutDispatcher: alone,
 	})
 }
@@ -319,7 +319,7 @@
 	s.possibleRuns--
 	s.lastError = e.Cause
 	// An unsent request has reached no server, so its retry is not charged to the budget.
-	held := m.heldBack(now, s)
+	held := m.quarantined(now, s)
 	mayRetry := held == nil && s.calls < maxCalls && now.Before(s.Deadline.Add(-minCallTime)) && (e.Kind == CallUnsent || e.Kind == CallReturned || m.budget.TakeRetry(now, s.Service))
 	m.report(s, e, outcomeOf(e.Kind), !mayRetry && s.possibleRuns == 0)
 	if mayRetry {
@@ -347,7 +347,7 @@
 // takeRetry reports whether a request that may have run can be sent to another server. If so, the
 // retry is charged to the budget.
 func (m *Machine) takeRetry(now time.Time, s *requestState) bool {
-	return m.heldBack(now, s) == nil && s.Route.MayRepeat() && s.possibleRuns < s.Route.MaxServers && s.calls < maxCalls &&
+	return m.quarantined(now, s) == nil && s.Route.MayRepeat() && s.possibleRuns < s.Route.MaxServers && s.calls < maxCalls &&
 		(s.phase != streaming || s.Route.Resumable && s.lastEvent != "") &&
 		now.Before(s.Deadline.Add(-minCallTime)) && m.budget.TakeRetry(now, s.Service)
 }
--- a/internal/decide/relay/quarantine_test.go
+++ b/internal/decide/relay/quarantine_test.go
@@ -13,13 +13,13 @@
 	"briaryard/internal/model"
 )
 
-// deadlyView is evidence against the part "dead", with a quarantine until start + 62 s.
-func deadlyView() *quarantine.View {
+// harmfulView is evidence against the part "dead", with a quarantine until start + 62 s.
+func harmfulView() *quarantine.View {
 	l := quarantine.NewLedger()
 	for n := range 3 {
 		at := start.Add(time.Duration(n-3) * time.Second)
 		l.Observe(at, quarantine.Sighting{
-			Parts: []model.PromptPart{"dead"}, SentAt: at.Add(-100 * time.Millisecond), Crash: quarantine.Crash{Server: model.BackendServerID([]string{"x", "y", "z"}[n]), Incarnation: 1},
+			Parts: []model.PromptPart{"dead"}, SentAt: at.Add(-100 * time.Millisecond), Crash: quarantine.CrashID{Server: model.BackendServerID([]string{"x", "y", "z"}[n]), Incarnation: 1},
 		})
 	}
 	return l.View()
@@ -31,25 +31,25 @@
 	return r
 }
 
-// Guards against requests that end servers and are sent all the same: on arrival, while they wait, after
+// Guards against requests that crash servers and are sent all the same: on arrival, while they wait, after
 // they have been granted a server, or once more. Each gets a refusal that is true.
-func TestARequestWithADeadlyPartIsNotSent(t *testing.T) {
+func TestARequestWithAHarmfulPartIsNotSent(t *testing.T) {
 	for name, run := range map[string]func(m *relay.Machine) []relay.Effect{
 		"on arrival": func(m *relay.Machine) []relay.Effect {
-			m.SetQuarantine(start, deadlyView())
+			m.SetQuarantine(start, harmfulView())
 			m.Arrive(start, promptRequest("a", "dead"))
 			return m.TakeEffects()
 		},
 		"while it waits": func(m *relay.Machine) []relay.Effect {
 			m.Arrive(start, promptRequest("a", "dead"))
 			m.TakeEffects()
-			m.SetQuarantine(start, deadlyView())
+			m.SetQuarantine(start, harmfulView())
 			return m.TakeEffects()
 		},
 		"granted": func(m *relay.Machine) []relay.Effect {
 			m.Arrive(start, promptRequest("a", "dead"))
 			m.TakeEffects()
-			m.SetQuarantine(start, deadlyView())
+			m.SetQuarantine(start, harmfulView())
 			refused := m.TakeEffects()
 			m.HandleDecision(start, grantOf("a"), true)
 			for _, e := range m.TakeEffects() {
@@ -63,15 +63,15 @@
 			m.Arrive(start, promptRequest("a", "dead"))
 			m.HandleDecision(start, grantOf("a"), false)
 			m.TakeEffects()
-			m.SetQuarantine(start, deadlyView())
-			m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallReturned, Cause: &fault.PromptHeldBack{Part: "dead"}})
+			m.SetQuarantine(start, harmfulView())
+			m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallReturned, Cause: &fault.PromptQuarantined{Part: "dead"}})
 			return m.TakeEffects()
 		},
 		"after a refusal of a server": func(m *relay.Machine) []relay.Effect {
 			m.Arrive(start, promptRequest("a", "dead"))
 			m.HandleDecision(start, grantOf("a"), false)
 			m.TakeEffects()
-			m.SetQuarantine(start, deadlyView())
+			m.SetQuarantine(start, harmfulView())
 			m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallFull, Cause: &fault.ServerRefusal{Status: 503}})
 			return m.TakeEffects()
 		},
@@ -80,7 +80,7 @@
 			g := NewWithT(t)
 			m := newMachine()
 			refusal := onlyEffect[relay.Refuse](t, run(m))
-			g.Expect(code(refusal)).To(Equal(fault.CodePromptHeldBack))
+			g.Expect(code(refusal)).To(Equal(fault.CodePromptQuarantined))
 			g.Expect(fault.MappingOf(refusal.Fault).RunState).To(Equal(model.NotRun))
 			g.Expect(fault.RetryAfterOf(refusal.Fault)).To(BeNumerically("~", 59*time.Second, 3*time.Second))
 			g.Expect(m.OpenRequests()).To(BeZero())
@@ -96,15 +96,15 @@
 	m.TakeEffects()
 	m.HandleDecision(start, grantOf("a"), false)
 	m.TakeEffects()
-	m.SetQuarantine(start, deadlyView())
-	m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallReturned, Cause: &fault.PromptHeldBack{Part: "dead"}})
+	m.SetQuarantine(start, harmfulView())
+	m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallReturned, Cause: &fault.PromptQuarantined{Part: "dead"}})
 	report := onlyEffect[relay.Report](t, m.TakeEffects())
 	g.Expect(report.Refund).To(BeTrue())
 	g.Expect(report.Outcome).To(Equal(schedule.Unused))
 }
 
-// Guards against a repeat that ends a second server, and against a refusal of it that denies the first run.
-func TestARequestThatMayHaveRunIsNotRepeatedWithADeadlyPart(t *testing.T) {
+// Guards against a repeat that crashes a second server, and against a refusal of it that denies the first run.
+func TestARequestThatMayHaveRunIsNotRepeatedWithAHarmfulPart(t *testing.T) {
 	g := NewWithT(t)
 	m := newMachine()
 	r := request(model.KindStream, true, 3)
@@ -112,7 +112,7 @@
 	m.Arrive(start, r)
 	m.HandleDecision(start, grantOf("a"), false)
 	m.TakeEffects()
-	m.SetQuarantine(start, deadlyView())
+	m.SetQuarantine(start, harmfulView())
 	g.Expect(m.TakeEffects()).To(BeEmpty(), "what has been sent goes on")
 	m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallBroken, Cause: &fault.MalformedAnswer{}})
 	g.Expect(code(onlyEffect[relay.Refuse](t, m.TakeEffects()))).To(Equal(fault.CodeAnswerLost))
@@ -122,21 +122,21 @@
 func TestOtherRequestsAreNotHeldBack(t *testing.T) {
 	for _, parts := range [][]model.PromptPart{nil, {"a"}, {"a", "b"}} {
 		m := newMachine()
-		m.SetQuarantine(start, deadlyView())
+		m.SetQuarantine(start, harmfulView())
 		m.Arrive(start, promptRequest(parts...))
 		onlyEffect[relay.RequestServer](t, m.TakeEffects())
 		m.HandleDecision(start, grantOf("a"), false)
-		NewWithT(t).Expect(onlyEffect[relay.StartCall](t, m.TakeEffects()).Trial).To(BeFalse())
+		NewWithT(t).Expect(onlyEffect[relay.StartCall](t, m.TakeEffects()).Probe).To(BeFalse())
 	}
 }
 
-// Guards against a quarantine without an end: the first request after it is sent as a trial.
+// Guards against a quarantine without an end: the first request after it is sent as a probe.
 func TestAfterAQuarantineOneRequestIsTried(t *testing.T) {
 	g := NewWithT(t)
 	later := start.Add(70 * time.Second)
 	m := newMachine()
-	m.SetQuarantine(start, deadlyView())
-	m.SetTrialPosition(1)
+	m.SetQuarantine(start, harmfulView())
+	m.SetProbePosition(1)
 	for seq := range uint64(2) {
 		r := promptRequest("dead")
 		r.ID.Seq, r.Arrived, r.Deadline = seq+1, later, later.Add(3*time.Second)
@@ -145,8 +145,8 @@
 	}
 	d := grantOf("a")
 	m.HandleDecision(later, d, false)
-	g.Expect(onlyEffect[relay.StartCall](t, m.TakeEffects()).Trial).To(BeTrue())
+	g.Expect(onlyEffect[relay.StartCall](t, m.TakeEffects()).Probe).To(BeTrue())
 	d.ID.Seq = 2
 	m.HandleDecision(later, d, false)
-	g.Expect(code(onlyEffect[relay.Refuse](t, m.TakeEffects()))).To(Equal(fault.CodePromptHeldBack))
+	g.Expect(code(onlyEffect[relay.Refuse](t, m.TakeEffects()))).To(Equal(fault.CodePromptQuarantined))
 }
--- a/internal/decide/relay/types.go
+++ b/internal/decide/relay/types.go
@@ -99,8 +99,8 @@
 	// Resume is set if the call continues a stream after LastEvent.
 	Resume    bool
 	LastEvent string
-	// Trial is set if the request has parts of a prompt that are under quarantine.
-	Trial bool
+	// Probe is set if the request has parts of a prompt that are under quarantine.
+	Probe bool
 	// Waited is the time since the arrival. WithoutDispatcher is set if this instance chose the
 	// server without the dispatcher.
 	Waited            time.Duration
--- a/internal/decide/schedule/limit.go
+++ b/internal/decide/schedule/limit.go
@@ -103,8 +103,8 @@
 	return l.tokens >= l.capacity()
 }
 
-// minBucketShare is the share above which the scheduler counts as that of the whole fleet, which may leave a
-// part of the limit to instances that have gone.
+// minBucketShare is the share from which a scheduler uses a bucket: the dispatcher of the fleet, which may leave
+// a part of the limit to lost instances, or an instance with most of a server's slots.
 const minBucketShare = 0.5
 
 func (l *rateLimit) takesTurns() bool { return l.share < minBucketShare }
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -34,12 +34,12 @@
 	CallLost = define(1110, slog.LevelWarn, "call.lost",
 		"A call with shared prompt parts was lost before the first event of its answer. server is what a new connection showed: ended (it is refused), open, or unreachable.",
 		"request", "backend_server", "incarnation", "after", "server", "parts", "cause")
-	PartsStruck = define(1111, slog.LevelWarn, "parts.struck",
-		"A backend server ended while a request of this instance with these prompt parts had no event yet.",
+	PartsCrashed = define(1111, slog.LevelWarn, "parts.crashed",
+		"A backend server crashed while a request of this instance with these prompt parts had no event yet.",
 		"backend_server", "incarnation", "parts")
-	PartJudged = define(1112, slog.LevelWarn, "part.judged",
-		"The evidence against a prompt part changed: strikes is the number of servers that ended since it was last cleared, level the number of its quarantines, remaining the rest of the present one. from is the instance that sent the evidence, or empty.",
-		"part", "generation", "strikes", "level", "remaining", "from")
+	PartEvidence = define(1112, slog.LevelWarn, "part.evidence",
+		"The evidence against a prompt part changed: crashes is the number of servers that crashed since it was last cleared, level the number of its quarantines, remaining the rest of the present one. from is the instance that sent the evidence, or empty.",
+		"part", "generation", "crashes", "level", "remaining", "from")
 	LogDropped = define(1106, slog.LevelWarn, "log.dropped",
 		"Log lines were dropped because they could not be written as fast as they were produced.", "lines")
 	ScheduleGranted = define(2101, slog.LevelInfo, "schedule.granted",
--- a/internal/fault/routed.go
+++ b/internal/fault/routed.go
@@ -11,19 +11,19 @@
 
 // Codes of failures of routed requests.
 var (
-	CodeUnconfirmed     = register("config-unconfirmed", "Configuration is unknown or not confirmed", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
-	CodeUnknownRoute    = register("unknown-route", "No route for the host and path", http.StatusNotFound, model.NotRun, ExitInvalid)
-	CodeUnknownKey      = register("unknown-key", "Missing or unknown key", http.StatusUnauthorized, model.NotRun, ExitInvalid)
-	CodeOverAllotment   = register("over-allotment", "Allotment of the team is used up", http.StatusTooManyRequests, model.NotRun, ExitUnavailable)
-	CodeNotServed       = register("not-served", "No backend server can answer in time", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
-	CodeNoSecondTry     = register("no-second-try", "Backend server refused and no further try is allowed", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
-	CodeAnswerLost      = register("answer-lost", "Answer of the backend server was lost", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
-	CodeTimedOut        = register("timed-out", "Time of the request is over", http.StatusGatewayTimeout, model.MayHaveRun, ExitUnavailable)
-	CodeStreamCut       = register("stream-cut", "Stream could not be finished", http.StatusBadGateway, model.Ran, ExitUnavailable)
-	CodePromptHeldBack  = register("prompt-held-back", "Requests with a part of the prompt end backend servers", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
-	CodeInvalidDocument = register("invalid-document", "Configuration of routes is invalid", http.StatusBadRequest, model.NotRun, ExitInvalid)
-	CodeInvalidServer   = register("invalid-announcement", "Announcement of a backend server is invalid", http.StatusBadRequest, model.NotRun, ExitInvalid)
-	CodeInstanceClosed  = register("instance-closing", "Instance takes no new requests", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
+	CodeUnconfirmed       = register("config-unconfirmed", "Configuration is unknown or not confirmed", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
+	CodeUnknownRoute      = register("unknown-route", "No route for the host and path", http.StatusNotFound, model.NotRun, ExitInvalid)
+	CodeUnknownKey        = register("unknown-key", "Missing or unknown key", http.StatusUnauthorized, model.NotRun, ExitInvalid)
+	CodeOverAllotment     = register("over-allotment", "Allotment of the team is used up", http.StatusTooManyRequests, model.NotRun, ExitUnavailable)
+	CodeNotServed         = register("not-served", "No backend server can answer in time", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
+	CodeNoSecondTry       = register("no-second-try", "Backend server refused and no further try is allowed", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
+	CodeAnswerLost        = register("answer-lost", "Answer of the backend server was lost", http.StatusBadGateway, model.MayHaveRun, ExitUnavailable)
+	CodeTimedOut          = register("timed-out", "Time of the request is over", http.StatusGatewayTimeout, model.MayHaveRun, ExitUnavailable)
+	CodeStreamCut         = register("stream-cut", "Stream could not be finished", http.StatusBadGateway, model.Ran, ExitUnavailable)
+	CodePromptQuarantined = register("prompt-quarantined", "Requests with a part of the prompt crash backend servers", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
+	CodeInvalidDocument   = register("invalid-document", "Configuration of routes is invalid", http.StatusBadRequest, model.NotRun, ExitInvalid)
+	CodeInvalidServer     = register("invalid-announcement", "Announcement of a backend server is invalid", http.StatusBadRequest, model.NotRun, ExitInvalid)
+	CodeInstanceClosed    = register("instance-closing", "Instance takes no new requests", http.StatusServiceUnavailable, model.NotRun, ExitUnavailable)
 )
 
 // Unconfirmed reports that the instance knows no configuration, or cannot confirm that the one it
@@ -105,23 +105,23 @@
 // RetryAfter implements Retryable.
 func (e *NotServed) RetryAfter() time.Duration { return e.Wait }
 
-// PromptHeldBack reports a request with a part of its prompt with which requests have ended backend
+// PromptQuarantined reports a request with a part of its prompt with which requests have crashed backend
 // servers. Wait is the time until such a request is tried again.
-type PromptHeldBack struct {
+type PromptQuarantined struct {
 	Part model.PromptPart
-	// Ended is the number of servers that have ended, as far as they are known.
-	Ended int
-	Wait  time.Duration
+	// Crashed is the number of servers that have crashed, as far as they are known.
+	Crashed int
+	Wait    time.Duration
 }
 
 // Code implements Fault.
-func (e *PromptHeldBack) Code() Code { return CodePromptHeldBack }
-func (e *PromptHeldBack) Error() string {
-	return fmt.Sprintf("%d backend servers ended while they began to answer requests with prompt part %q; the next is tried in %v", e.Ended, e.Part, e.Wait.Round(time.Millisecond))
+func (e *PromptQuarantined) Code() Code { return CodePromptQuarantined }
+func (e *PromptQuarantined) Error() string {
+	return fmt.Sprintf("%d backend servers crashed while they began to answer requests with prompt part %q; the next is tried in %v", e.Crashed, e.Part, e.Wait.Round(time.Millisecond))
 }
 
 // RetryAfter implements Retryable.
-func (e *PromptHeldBack) RetryAfter() time.Duration { return e.Wait }
+func (e *PromptQuarantined) RetryAfter() time.Duration { return e.Wait }
 
 // NoSecondTry reports a request that a backend server refused without running it, when the retry
 // limit does not allow a second attempt at another server.
--- a/internal/metric/routed.go
+++ b/internal/metric/routed.go
@@ -8,7 +8,7 @@
 	RoutedOpen        = define(KindGauge, "routed_open", "requests", "", "Routed requests of this instance that have no final answer yet.")
 	BackendDials      = define(KindCounter, "backend_dials", "connections", "outcome", "Attempts to open a connection to a backend server, by outcome.")
 	CallsLost         = define(KindCounter, "backend_calls_lost", "calls", "server", "Calls with shared prompt parts that were lost before the first event of their answer, by what a new connection to the server showed: ended, open or unreachable.")
-	PartsHeld         = define(KindGauge, "prompt_parts_held", "parts", "", "Prompt parts under quarantine, or on trial after one.")
+	PartsQuarantined  = define(KindGauge, "prompt_parts_quarantined", "parts", "", "Prompt parts under quarantine, or probed after one.")
 	RecordsRefused    = define(KindCounter, "server_records_refused", "records", "source", "Invalid records of backend servers: those of an announcement, or of another instance.")
 	LogLinesDropped   = define(KindCounter, "log_lines_dropped", "lines", "", "Log lines dropped because they could not be written as fast as they were produced.")
 )
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -30,7 +30,7 @@
 	RelayName = "relay"
 	// HTTPBackendName calls backend servers over HTTP.
 	HTTPBackendName = "backend.http"
-	// QuarantineName finds the parts of prompts that end servers.
+	// QuarantineName finds the parts of prompts that crash servers.
 	QuarantineName = "quarantine"
 	// PresenceName publishes whether this instance accepts requests, and stops it gracefully.
 	PresenceName = "presence"
@@ -83,7 +83,7 @@
 	SubscribeSources(sink func([]model.InstanceID))
 }
 
-// Quarantine finds the parts of prompts that end the servers which begin to answer them. The instances
+// Quarantine finds the parts of prompts that crash the servers which begin to answer them. The instances
 // share their evidence.
 type Quarantine interface {
 	// Observe takes what this instance has seen of a request with shared parts.
@@ -197,10 +197,10 @@
 	Server  model.BackendServer
 	Team    model.TeamID
 	Call    *model.HTTPCall
-	// Parts are the parts of the prompt that other requests may share. Trial is set if the request is sent
+	// Parts are the parts of the prompt that other requests may share. Probe is set if the request is sent
 	// although some of them are under quarantine.
 	Parts []model.PromptPart
-	Trial bool
+	Probe bool
 	// Until is the deadline of the call on clock.Boot.
 	Until time.Time
 	// Stream is set if the answer may be an event stream.
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -52,7 +52,7 @@
 	barred  func(*model.BackendServer) (hold.Bar, bool)
 	// limited reports whether the server has named a limit to this instance.
 	limited func(*model.BackendServer) bool
-	// evidence is the view of the parts of prompts that end servers, and observe takes what this call shows.
+	// evidence is the view of the parts of prompts that crash servers, and observe takes what this call shows.
 	evidence *atomic.Pointer[quarantine.View]
 	observe  func(quarantine.Sighting)
 	log      *event.Log
@@ -145,8 +145,8 @@
 		c.sendFinal(ctx, relay.CallReturned, &fault.ServerBarred{Server: c.out.Server.ID, Leaving: bar.Leaving})
 		return 0
 	}
-	if part, held := c.evidence.Load().Held(c.out.Parts); held && !c.out.Trial {
-		c.sendFinal(ctx, relay.CallReturned, &fault.PromptHeldBack{Part: part})
+	if part, held := c.evidence.Load().Held(c.out.Parts); held && !c.out.Probe {
+		c.sendFinal(ctx, relay.CallReturned, &fault.PromptQuarantined{Part: part})
 		return 0
 	}
 	n, err := c.writeRequest(c.encodeHeader(left))
--- a/internal/service/httpbackend/loss.go
+++ b/internal/service/httpbackend/loss.go
@@ -37,10 +37,10 @@
 		return
 	}
 	after := clock.Boot().Sub(c.startedAt)
-	state := c.probeServer(ctx)
+	state := c.dialServer(ctx)
 	c.metrics.Counter(metric.CallsLost, string(state)).Inc(1)
 	if state == serverEnded {
-		c.observe(quarantine.Sighting{Parts: c.out.Parts, Crash: quarantine.Crash{Server: c.out.Server.ID, Incarnation: c.out.Server.Incarnation}, SentAt: c.startedAt})
+		c.observe(quarantine.Sighting{Parts: c.out.Parts, Crash: quarantine.CrashID{Server: c.out.Server.ID, Incarnation: c.out.Server.Incarnation}, SentAt: c.startedAt})
 	}
 	c.log.Emit(event.CallLost, c.out.ID.String(), c.out.Server.ID, c.out.Server.Incarnation, after, string(state), c.out.Parts, c.lossCause.Error())
 }
@@ -53,8 +53,8 @@
 	}
 }
 
-// probeServer opens a connection to the server and closes it.
-func (c *call) probeServer(ctx context.Context) serverState {
+// dialServer opens a connection to the server and closes it.
+func (c *call) dialServer(ctx context.Context) serverState {
 	d := net.Dialer{Timeout: lossCheckTimeout}
 	probe, err := d.DialContext(ctx, "tcp", c.out.Server.Address)
 	switch {
--- a/internal/service/httpbackend/quarantine_test.go
+++ b/internal/service/httpbackend/quarantine_test.go
@@ -16,30 +16,30 @@
 	"briaryard/internal/port"
 )
 
-var deadlyParts = []model.PromptPart{"first", "dead"}
+var harmfulParts = []model.PromptPart{"first", "dead"}
 
-// evidenceAfter returns the evidence after a number of ends of servers, a second apart.
-func evidenceAfter(ends int) *quarantine.View {
+// evidenceAfter returns the evidence after a number of crashes of servers, a second apart.
+func evidenceAfter(crashes int) *quarantine.View {
 	l := quarantine.NewLedger()
-	for n := range ends {
-		at := clock.Boot().Add(time.Duration(n-ends) * time.Second)
+	for n := range crashes {
+		at := clock.Boot().Add(time.Duration(n-crashes) * time.Second)
 		l.Observe(at, quarantine.Sighting{
-			Parts: deadlyParts, SentAt: at.Add(-100 * time.Millisecond), Crash: quarantine.Crash{Server: model.BackendServerID(string(rune('a' + n))), Incarnation: 1},
+			Parts: harmfulParts, SentAt: at.Add(-100 * time.Millisecond), Crash: quarantine.CrashID{Server: model.BackendServerID(string(rune('a' + n))), Incarnation: 1},
 		})
 	}
 	return l.View()
 }
 
-// Guards against a request that was granted before its part was condemned and is sent after. A trial is sent.
-func TestACallWithADeadlyPartIsReturned(t *testing.T) {
+// Guards against a request that was granted before its part was quarantined and is sent after. A probe is sent.
+func TestACallWithAHarmfulPartIsReturned(t *testing.T) {
 	for name, c := range map[string]struct {
-		trial bool
+		probe bool
 		parts []model.PromptPart
 		want  relay.CallKind
 	}{
-		"held back":      {parts: deadlyParts, want: relay.CallReturned},
-		"trial":          {trial: true, parts: deadlyParts, want: relay.CallEnded},
-		"neighbour only": {parts: deadlyParts[:1], want: relay.CallEnded},
+		"held back":       {parts: harmfulParts, want: relay.CallReturned},
+		"probe":           {probe: true, parts: harmfulParts, want: relay.CallEnded},
+		"other part only": {parts: harmfulParts[:1], want: relay.CallEnded},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -52,7 +52,7 @@
 			b.evidence.publish(evidenceAfter(3))
 			e, _ := b.call(t, s.listener.Addr().String(), "1", func(o *port.HTTPOutbound) {
 				stream(o)
-				o.Parts, o.Trial = c.parts, c.trial
+				o.Parts, o.Probe = c.parts, c.probe
 			})
 			g.Expect(e.Kind).To(Equal(c.want))
 			if c.want == relay.CallReturned {
@@ -62,7 +62,7 @@
 	}
 }
 
-// Guards against evidence that is not taken: the end of a server before the first event, and an answer that
+// Guards against evidence that is not taken: the crash of a server before the first event, and an answer that
 // begins on a suspected part. A failure and an unsuspected part say nothing.
 func TestWhatACallShowsOfItsPartsIsReported(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -72,9 +72,9 @@
 		known  int
 		want   []quarantine.Sighting
 	}{
-		"server ends":      {answer: head, ends: true, want: []quarantine.Sighting{{Parts: deadlyParts, Crash: quarantine.Crash{Server: "b"}}}},
+		"server ends":      {answer: head, ends: true, want: []quarantine.Sighting{{Parts: harmfulParts, Crash: quarantine.CrashID{Server: "b"}}}},
 		"connection reset": {answer: head},
-		"begins":           {answer: head + "id: 1\n\n", known: 1, want: []quarantine.Sighting{{Parts: deadlyParts}}},
+		"begins":           {answer: head + "id: 1\n\n", known: 1, want: []quarantine.Sighting{{Parts: harmfulParts}}},
 		"not suspected":    {answer: head + "id: 1\n\n"},
 		"failure":          {answer: "HTTP/1.1 500 X\r\nAttempt: 1\r\nContent-Length: 0\r\n\r\n", known: 1},
 	} {
@@ -93,7 +93,7 @@
 			b.evidence.publish(evidenceAfter(c.known))
 			b.call(t, s.listener.Addr().String(), "1", func(o *port.HTTPOutbound) {
 				stream(o)
-				o.Parts = deadlyParts
+				o.Parts = harmfulParts
 			})
 			for _, want := range c.want {
 				var got quarantine.Sighting
--- a/internal/service/httpbackend/service.go
+++ b/internal/service/httpbackend/service.go
@@ -71,7 +71,7 @@
 	notify  func(model.ServerNotice)
 	// bars is the immutable view of barTable for the calls.
 	bars atomic.Pointer[hold.Table]
-	// evidence is the view of the parts of prompts that end servers.
+	// evidence is the view of the parts of prompts that crash servers.
 	evidence   atomic.Pointer[quarantine.View]
 	quarantine port.Quarantine
 	ring       *ring.Ring[message]
--- a/internal/service/quarantine/service.go
+++ b/internal/service/quarantine/service.go
@@ -139,10 +139,10 @@
 	s.publish(now)
 }
 
-// logSighting logs the end of a server that this instance has seen.
+// logSighting logs the crash of a server that this instance has seen.
 func (s *Service) logSighting(o quarantine.Sighting) {
 	if !o.Began() {
-		s.log.Emit(event.PartsStruck, o.Crash.Server, o.Crash.Incarnation, o.Parts)
+		s.log.Emit(event.PartsCrashed, o.Crash.Server, o.Crash.Incarnation, o.Parts)
 	}
 }
 
@@ -154,7 +154,7 @@
 	for _, p := range parts {
 		s.unsent[p] = from
 		if r, ok := s.ledger.Get(p); ok {
-			s.log.Emit(event.PartJudged, p, r.Generation, len(r.Strikes), r.Level, max(r.Until.Sub(now), 0), from)
+			s.log.Emit(event.PartEvidence, p, r.Generation, len(r.Crashes), r.Level, max(r.Until.Sub(now), 0), from)
 		}
 	}
 	s.publishView()
@@ -163,7 +163,7 @@
 // publishView passes the evidence to the subscribers within this instance.
 func (s *Service) publishView() {
 	view := s.ledger.View()
-	s.metrics.Gauge(metric.PartsHeld, "").Update(int64(view.CondemnedParts()))
+	s.metrics.Gauge(metric.PartsQuarantined, "").Update(int64(view.QuarantinedParts()))
 	for _, sink := range s.sinks {
 		sink(view)
 	}
--- a/internal/service/quarantine/service_test.go
+++ b/internal/service/quarantine/service_test.go
@@ -108,7 +108,7 @@
 
 func crash(server int) quarantine.Sighting {
 	return quarantine.Sighting{
-		Parts: []model.PromptPart{"first", "dead"}, SentAt: start.Add(time.Duration(server)*time.Second - 100*time.Millisecond), Crash: quarantine.Crash{Server: model.BackendServerID(fmt.Sprint("s", server)), Incarnation: 1},
+		Parts: []model.PromptPart{"first", "dead"}, SentAt: start.Add(time.Duration(server)*time.Second - 100*time.Millisecond), Crash: quarantine.CrashID{Server: model.BackendServerID(fmt.Sprint("s", server)), Incarnation: 1},
 	}
 }
 
@@ -131,8 +131,8 @@
 	return n
 }
 
-// strike lets an instance see the end of a server at a time.
-func (n *network) strike(id model.InstanceID, server int) {
+// crash lets an instance see the crash of a server at a time.
+func (n *network) crash(id model.InstanceID, server int) {
 	n.services[id].handle(start.Add(time.Duration(server)*time.Second), crash(server))
 	n.deliver(start.Add(time.Duration(server) * time.Second))
 }
@@ -142,7 +142,7 @@
 	g := NewWithT(t)
 	n := fleet(t)
 	for i := range 3 {
-		n.strike(model.InstanceID(fmt.Sprint("e", i)), i)
+		n.crash(model.InstanceID(fmt.Sprint("e", i)), i)
 	}
 	for id, s := range n.services {
 		g.Expect(holds(s)).To(BeTrue(), string(id))
@@ -154,13 +154,13 @@
 	}
 }
 
-// Guards against a restarted instance that sends deadly requests again, and against evidence that is lost
+// Guards against a restarted instance that sends harmful requests again, and against evidence that is lost
 // with the core instances.
 func TestRestartedInstancesLearnTheEvidenceAgain(t *testing.T) {
 	g := NewWithT(t)
 	n := fleet(t)
 	for i := range 3 {
-		n.strike("e0", i)
+		n.crash("e0", i)
 	}
 	delete(n.services, "e1")
 	n.add("e1", false, "c1", "c2")
@@ -182,7 +182,7 @@
 	g := NewWithT(t)
 	n := fleet(t)
 	n.sent = 0
-	n.strike("e0", 1)
+	n.crash("e0", 1)
 	first := n.sent
 	// Two from the instance, one between the core instances each way, and one from each to the three others,
 	// which pass it on to the other core instance.
@@ -199,7 +199,7 @@
 		n.cut[[2]model.InstanceID{"e0", core}], n.cut[[2]model.InstanceID{core, "e0"}] = true, true
 	}
 	for i := range 3 {
-		n.strike("e0", i)
+		n.crash("e0", i)
 	}
 	g.Expect(holds(n.services["e0"])).To(BeTrue())
 	g.Expect(holds(n.services["e1"])).To(BeFalse())
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -195,7 +195,7 @@
 			position++
 		}
 	}
-	s.machine.SetTrialPosition(position)
+	s.machine.SetProbePosition(position)
 }
 
 func (s *Service) onTick(now time.Time) {
@@ -316,7 +316,7 @@
 	s.log.Emit(event.RoutedSent, e.ID.String(), sub.Attempt, e.Send, e.Server.ID, e.Server.Address, e.Server.Sequence,
 		e.Waited, e.Until.Sub(now), e.WithoutDispatcher, r.Revision, sub.Parts)
 	s.backend.OpenCall(port.HTTPOutbound{
-		ID: e.ID, Send: e.Send, Attempt: sub.Attempt, Server: e.Server, Team: r.Team, Call: &sub.Call, Parts: sub.Parts, Trial: e.Trial, Until: e.Until,
+		ID: e.ID, Send: e.Send, Attempt: sub.Attempt, Server: e.Server, Team: r.Team, Call: &sub.Call, Parts: sub.Parts, Probe: e.Probe, Until: e.Until,
 		Stream: r.Route.Kind == model.KindStream, Resume: e.Resume, LastEvent: e.LastEvent, Events: sub.Events,
 	})
 }
--- a/internal/wire/routedwire/parts.go
+++ b/internal/wire/routedwire/parts.go
@@ -21,8 +21,8 @@
 	for i := range m.Records {
 		r := &m.Records[i]
 		p := &pb.PartRecord{Part: string(r.Part), Generation: r.Generation, Level: uint32(r.Level), RemainingUs: r.Remaining.Microseconds()}
-		for _, s := range r.Strikes {
-			p.Strikes = append(p.Strikes, &pb.Strike{Server: string(s.Server), Incarnation: uint64(s.Incarnation), AgeUs: s.Age.Microseconds(), TookUs: s.Took.Microseconds()})
+		for _, s := range r.Crashes {
+			p.Crashes = append(p.Crashes, &pb.Crash{Server: string(s.Server), Incarnation: uint64(s.Incarnation), AgeUs: s.Age.Microseconds(), TookUs: s.Took.Microseconds()})
 		}
 		out.Records = append(out.Records, p)
 	}
@@ -45,16 +45,16 @@
 	r := quarantine.RelativeRecord{
 		Part: model.PromptPart(p.GetPart()), Generation: p.GetGeneration(), Level: int(p.GetLevel()), Remaining: micros(p.GetRemainingUs()),
 	}
-	if p.GetPart() == "" || len(p.GetPart()) > maxPartBytes || p.GetLevel() > quarantine.MaxLevel || len(p.GetStrikes()) > quarantine.MaxStrikes ||
+	if p.GetPart() == "" || len(p.GetPart()) > maxPartBytes || p.GetLevel() > quarantine.MaxLevel || len(p.GetCrashes()) > quarantine.MaxCrashes ||
 		!inPartTime(p.GetRemainingUs()) {
 		return r, &fault.PeerProtocol{Reason: "record of a prompt part out of range"}
 	}
-	for _, s := range p.GetStrikes() {
+	for _, s := range p.GetCrashes() {
 		if s.GetServer() == "" || s.GetAgeUs() < 0 || !inPartTime(s.GetAgeUs()) || s.GetTookUs() < 0 || !inPartTime(s.GetTookUs()) {
-			return r, &fault.PeerProtocol{Reason: "strike out of range"}
+			return r, &fault.PeerProtocol{Reason: "crash out of range"}
 		}
-		r.Strikes = append(r.Strikes, quarantine.RelativeStrike{
-			Crash: quarantine.Crash{Server: model.BackendServerID(s.GetServer()), Incarnation: model.Incarnation(s.GetIncarnation())}, Age: micros(s.GetAgeUs()), Took: micros(s.GetTookUs()),
+		r.Crashes = append(r.Crashes, quarantine.RelativeCrash{
+			CrashID: quarantine.CrashID{Server: model.BackendServerID(s.GetServer()), Incarnation: model.Incarnation(s.GetIncarnation())}, Age: micros(s.GetAgeUs()), Took: micros(s.GetTookUs()),
 		})
 	}
 	return r, nil
