Blame a part alone only if two crashes in sequence are not shared by another

Cause: a part was blamed alone as soon as one crash was in its record and not in that of the harmful part. It takes one missed sighting: a sound request without the harmful part is lost with the server, and the harmful request's own instance looks for the server when it is back. Change: a part may be the cause of another one's crashes if no two in sequence are missing in its record. A harmful part that meets other parts is told from them by two crashes instead of one.

--- a/internal/decide/quarantine/record.go
+++ b/internal/decide/quarantine/record.go
@@ -60,12 +60,15 @@
 	return n >= minSequence || n >= minSequenceOfMany && len(r.Crashes) >= manyCrashes
 }
 
+// sequence returns the number of crashes in sequence.
+func (r *Record) sequence() int { return sequence(r.Crashes) }
+
 // sequence returns the number of crashes in sequence: each request was sent after the crash before. Servers
 // that lose their power together count once: they say nothing about the requests that they have in common.
-func (r *Record) sequence() int {
+func sequence(crashes []Crash) int {
 	count := 0
 	var last time.Time
-	for _, c := range r.Crashes {
+	for _, c := range crashes {
 		if count == 0 || !c.SentAt.Before(last) {
 			count++
 			last = c.At
@@ -79,10 +82,15 @@
 	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.CrashID == id })
 }
 
-// hasCrashesOf reports whether all crashes of another record are also crashes of this one. The part of this
-// record may then be the cause of them.
-func (r *Record) hasCrashesOf(o *Record) bool {
-	return !slices.ContainsFunc(o.Crashes, func(c Crash) bool { return !r.has(c.CrashID) })
+// maxMissedSightings is the number of crashes in sequence that an instance may have failed to see. A busy one
+// may look for the server only after it is back.
+const maxMissedSightings = 1
+
+// mayCause reports whether the part of this record may be the cause of all crashes of another record: hardly
+// any of them is missing here.
+func (r *Record) mayCause(o *Record) bool {
+	missing := slices.DeleteFunc(slices.Clone(o.Crashes), func(c Crash) bool { return r.has(c.CrashID) })
+	return len(missing) < len(o.Crashes) && sequence(missing) <= maxMissedSightings
 }
 
 // with returns a copy of the record with a further crash.
--- a/internal/decide/quarantine/view.go
+++ b/internal/decide/quarantine/view.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		for q, o := range v.suspects {
-			if o.hasCrashesOf(r) {
+			if o.mayCause(r) {
 				v.groups[p] = append(v.groups[p], q)
 			}
 		}
