--- /dev/null
+++ b/review/trial/burst.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// bookingClients send short requests. calmUploads send long ones, and burstUploads in a burst: 1.7 times as many.
+	bookingClients = 17
+	calmUploads    = 18
+	burstUploads   = 30
+	// bookingWork is the longest work of a booking, as on the site.
+	bookingWork = 110 * time.Millisecond
+	// longBody is the largest body that the configuration allows.
+	longBody = 4 << 20
+)
+
+// resident returns the resident memory of a process in bytes.
+func resident(pid int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if text, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(text), " kB"), 10, 64)
+			return n << 10
+		}
+	}
+	return 0
+}
+
+// watchMemory kills an entry process that uses more memory than its settings allow, as the platform does. It
+// keeps the largest use in most.
+func watchMemory(r *record, m *machine, most *atomic.Int64, killed *atomic.Bool, stop <-chan struct{}) {
+	p := m.process("entry")
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		used := resident(p.cmd.Process.Pid)
+		most.Store(max(most.Load(), used))
+		if used > memoryMB<<20 {
+			r.add("platform: the entry of %s uses %d MB of %d MB", m.name, used>>20, memoryMB)
+			m.signal("entry", syscall.SIGKILL)
+			killed.Store(true)
+			return
+		}
+	}
+}
+
+// longBodies lets the clients of the site send to one machine at the same time: some of them short bookings, the
+// others requests with bodies as long as the configuration allows.
+func longBodies(r *record, trouble bool) (outcome, error) {
+	f, err := newFleet(r, 3, 1)
+	if err != nil {
+		return outcome{}, err
+	}
+	defer f.stopAll()
+	all := newRuns()
+	c := config(7, []string{"fitdesk"}, route("puxa403", "non_idempotent", "fitdesk", 6*time.Second, time.Second, nil))
+	entry := f.machines[3]
+	work := func(x *exchange) bool {
+		time.Sleep(bookingWork/2 + rand.N(bookingWork/2))
+		return x.answer(200, "booked "+x.attempt)
+	}
+	if err := f.startWithWorkers(all, "fitdesk", 3, 6, work, c); err != nil {
+		return outcome{}, err
+	}
+	var most atomic.Int64
+	var killed atomic.Bool
+	stop := make(chan struct{})
+	defer close(stop)
+	go watchMemory(r, entry, &most, &killed, stop)
+
+	uploads := calmUploads
+	if trouble {
+		uploads = burstUploads
+	}
+	long := make([]byte, longBody)
+	var lost, answered atomic.Int64
+	var wg sync.WaitGroup
+	began := time.Now()
+	for i := range bookingClients + uploads {
+		name, body, limit := fmt.Sprintf("book-%d", i), []byte("one loaner"), 30
+		if i >= bookingClients {
+			name, body, limit = fmt.Sprintf("long-%d", i), long, 4
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ch, err := open(entry.callers())
+			if err != nil {
+				return
+			}
+			defer ch.close()
+			for n := range limit {
+				attempt, content := fmt.Sprintf("%s-%d", name, n), body
+				if n == 0 {
+					content = []byte("a first request")
+				}
+				r.add("client: sends %s with %d bytes", attempt, len(content))
+				a := ch.call("POST", "/puxa403/2f", attempt, 6*time.Second, "", content)
+				r.add("client: %s: %s", attempt, a)
+				switch {
+				case a.err == nil:
+					answered.Add(1)
+				case n > 0 && len(all.of(attempt)) > 0:
+					// The channel is a kept one, and the request was passed on.
+					lost.Add(1)
+				}
+				if !a.keep {
+					return
+				}
+				if n == 0 && i >= bookingClients {
+					// The long requests begin while bookings are under way.
+					time.Sleep(time.Until(began.Add(time.Second)))
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	text := fmt.Sprintf("the entry used %d MB of %d MB, killed for it: %v; %d requests answered, %d from kept channels ran at a worker and got no answer",
+		most.Load()>>20, memoryMB, killed.Load(), answered.Load(), lost.Load())
+	return outcome{broken: lost.Load() > 3, text: text}, nil
+}
