--- a/review/trial/fleet_test.go
+++ b/review/trial/fleet_test.go
@@ -197,7 +197,7 @@
 func (m *machine) signal(role string, s syscall.Signal) {
 	if p := m.process(role); p != nil {
 		_ = p.cmd.Process.Signal(s)
-		m.fleet.record.add("platform: %v to %s of %s", s, role, m.name)
+		m.fleet.record.add("platform: signal %d (%v) to the %s process of %s", int(s), s, role, m.name)
 	}
 }
 
@@ -277,11 +277,7 @@
 			}
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.folder)
-	} else {
-		fmt.Fprintln(os.Stderr, "kept", f.folder)
-	}
+	_ = os.RemoveAll(f.folder)
 }
 
 // putConfig sends a configuration to the core instances in turn until one acknowledges it.
