review: case 2, seeds exchanged for core instances without a disk, then a kill of all

Cause: only members of the control group name its members, and processes connect to the contacts of their settings until a member has answered; that holds for the members themselves.

--- a/review/trial/main_test.go
+++ b/review/trial/main_test.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(r *record, trouble bool) (outcome, error){
 	"freeze": frozenEntry,
 	"stop":   stopDuringAnswer,
+	"seeds":  exchangedSeeds,
 	"memory": longBodies,
 }
 
