Begin an answer in the relay duty alone, so that no refusal follows its head

Cause: the call to the server wrote the head and the first events into the caller's ring and told the relay duty afterwards. The duty, which took the request for one without an answer, refused it or delivered an earlier server's failure into the same ring. Change: a call sends CallBegan with the head and waits; the relay duty puts the head into the caller's ring and accepts the call, or has ended the request and cancels it. A caller that has left closes its ring, so that a call which goes on drops its answer.

--- a/internal/decide/relay/machine.go
+++ b/internal/decide/relay/machine.go
@@ -234,10 +234,12 @@
 	}
 	s.events = max(s.events, e.Events)
 	if s.phase == callerGone {
-		if e.Kind != CallBegan {
-			m.report(s, e, outcomeOf(e.Kind), false)
-			m.end(now, s, "caller gone")
+		if e.Kind == CallBegan {
+			m.emit(Begin{ID: s.ID, Send: s.calls})
+			return
 		}
+		m.report(s, e, outcomeOf(e.Kind), false)
+		m.end(now, s, "caller gone")
 		return
 	}
 	switch e.Kind {
@@ -255,12 +257,15 @@
 	}
 }
 
-// handleCallBegan handles an answer that has begun and is being streamed to the caller.
+// handleCallBegan accepts an answer that has begun, so that it is streamed to the caller.
 func (m *Machine) handleCallBegan(now time.Time, s *requestState, e CallEvent) {
 	s.phase = streaming
+	begin := Begin{ID: s.ID, Send: s.calls}
 	if !s.answerBegan {
 		s.answerBegan, s.firstEventAfter = true, now.Sub(s.Arrived)
+		begin.Answer = e.Answer
 	}
+	m.emit(begin)
 	m.report(s, e, schedule.Began, false)
 }
 
--- a/internal/decide/relay/machine_test.go
+++ b/internal/decide/relay/machine_test.go
@@ -155,6 +155,49 @@
 	}
 }
 
+// Guards against an answer that is sent to a caller whose request has ended in another way: only an answer that
+// began while the request was open is accepted, and its head is sent once.
+func TestAnAnswerIsAcceptedOnlyWhileItsRequestIsOpen(t *testing.T) {
+	g := NewWithT(t)
+	head := &model.HTTPAnswer{Status: 200}
+	began := func(send int) relay.CallEvent {
+		return relay.CallEvent{ID: id, Send: send, Kind: relay.CallBegan, Answer: head}
+	}
+	m := newMachine()
+	m.Arrive(start, request(model.KindStream, true, 2))
+	m.HandleDecision(start, grantOf("a"), false)
+	m.HandleCallEvent(start, began(1))
+	g.Expect(onlyEffect[relay.Begin](t, m.TakeEffects())).To(Equal(relay.Begin{ID: id, Send: 1, Answer: head}))
+	m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallBroken, LastEvent: "7", Cause: &fault.MalformedAnswer{}})
+	m.HandleDecision(start, grantOf("b"), false)
+	m.TakeEffects()
+	m.HandleCallEvent(start, began(2))
+	g.Expect(onlyEffect[relay.Begin](t, m.TakeEffects()).Answer).To(BeNil(), "the caller has the head of the first answer")
+
+	for name, end := range map[string]func(m *relay.Machine){
+		"time over":   func(m *relay.Machine) { m.Tick(start.Add(3 * time.Second)) },
+		"caller gone": func(m *relay.Machine) { m.CallerDisconnected(start, id) },
+		"broken": func(m *relay.Machine) {
+			m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: 1, Kind: relay.CallBroken, Cause: &fault.MalformedAnswer{}})
+		},
+	} {
+		m := newMachine()
+		m.Arrive(start, request(model.KindStream, false, 1))
+		m.HandleDecision(start, grantOf("a"), false)
+		end(m)
+		m.TakeEffects()
+		m.HandleCallEvent(start, began(1))
+		g.Expect(m.TakeEffects()).To(BeEmpty(), name)
+	}
+
+	m = newMachine()
+	m.Arrive(start, request(model.KindOnce, false, 1))
+	m.HandleDecision(start, grantOf("a"), false)
+	m.CallerDisconnected(start, id)
+	m.HandleCallEvent(start, began(1))
+	g.Expect(onlyEffect[relay.Begin](t, m.TakeEffects()).Answer).To(BeNil(), "the call goes on without its caller")
+}
+
 // Guards against calls that continue after their caller has disconnected, and against cancelling a
 // request that may run only once, such as a booking, halfway.
 func TestCallersThatLeave(t *testing.T) {
--- a/internal/decide/relay/types.go
+++ b/internal/decide/relay/types.go
@@ -34,7 +34,7 @@
 
 // Kinds of call events.
 const (
-	// CallBegan means that the answer has begun and is being sent to the caller.
+	// CallBegan means that the answer has begun. None of it is sent to the caller before Begin.
 	CallBegan CallKind = iota
 	// CallAnswered carries a complete answer, none of which has been sent to the caller.
 	CallAnswered
@@ -64,7 +64,7 @@
 	// Send is the number of the call, as given by its StartCall effect.
 	Send int
 	Kind CallKind
-	// Answer is set with CallAnswered.
+	// Answer is set with CallAnswered, and without its body with CallBegan.
 	Answer *model.HTTPAnswer
 	// First is the time from the start of the call to the first event, Rest the time from the first
 	// event to the end.
@@ -125,6 +125,15 @@
 	Fault fault.Fault
 }
 
+// Begin accepts the answer that a call has begun: the caller gets no other one from now on.
+type Begin struct {
+	ID   model.RequestID
+	Send int
+	// Answer holds the status and the header for the caller. It is nil if the call resumes a stream or the
+	// caller has disconnected.
+	Answer *model.HTTPAnswer
+}
+
 // Abort ends an answer that has begun and cannot be completed.
 type Abort struct {
 	ID    model.RequestID
@@ -165,6 +174,7 @@
 	For time.Duration
 }
 
+func (Begin) effect()         {}
 func (PassOn) effect()        {}
 func (Returned) effect()      {}
 func (RequestServer) effect() {}
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -141,7 +141,8 @@
 	// Parts are the parts of the prompt that other requests may share, in order.
 	Parts []model.PromptPart
 	// Events receives the answer. The front end is its only consumer. If it is closed without a
-	// final event, the answer is incomplete.
+	// final event, the answer is incomplete. The relay alone begins an answer; the call whose answer it
+	// has accepted adds the data and the end.
 	Events *ring.Ring[RoutedEvent]
 }
 
@@ -209,12 +210,15 @@
 	Resume    bool
 	LastEvent string
 	Events    *ring.Ring[RoutedEvent]
+	// Accepted gets one item when the relay accepts the answer of this call, after CallBegan. Until then
+	// the relay may still give the caller another answer, so the call writes nothing to Events.
+	Accepted *ring.Ring[struct{}]
 }
 
 // HTTPBackend calls backend servers over HTTP.
 type HTTPBackend interface {
-	// OpenCall starts a call. Its call events are passed to the attached sink; the answer is
-	// written to the events of the submission once it has begun.
+	// OpenCall starts a call. Its call events are passed to the attached sink; the data of the answer is
+	// written to the events of the submission once the answer is accepted.
 	OpenCall(o HTTPOutbound)
 	// CancelCall cancels a call. No further event follows.
 	CancelCall(id model.RequestID, send int)
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -352,7 +352,9 @@
 		c.sendEvent(ctx, relay.CallEvent{Kind: relay.CallAnswered, Answer: answer})
 		return nil
 	}
-	c.beginAnswer(ctx, answer)
+	if err := c.beginAnswer(ctx, answer); err != nil {
+		return err
+	}
 	c.forward(ctx, port.RoutedEvent{Kind: port.RoutedData, Data: body})
 	for {
 		part := make([]byte, readChunkSize)
@@ -379,7 +381,9 @@
 		data, count, feedErr := events.Feed(buf[:n])
 		if count > 0 {
 			if c.firstEventAt.IsZero() {
-				c.beginAnswer(ctx, answerHeader(resp))
+				if err := c.beginAnswer(ctx, answerHeader(resp)); err != nil {
+					return err
+				}
 			}
 			c.eventCount += count
 			c.lastEventID = events.LastID()
@@ -398,15 +402,14 @@
 	}
 }
 
-// beginAnswer reports that the answer has begun. It forwards the header unless the call resumes a
-// stream.
-func (c *call) beginAnswer(ctx context.Context, header *model.HTTPAnswer) {
+// beginAnswer reports that the answer has begun and waits until the relay accepts it. It returns an error
+// if the call is cancelled instead, because the request has ended in another way.
+func (c *call) beginAnswer(ctx context.Context, header *model.HTTPAnswer) error {
 	c.firstEventAt = clock.Boot()
 	c.observeBegin(header.Status)
-	if !c.out.Resume {
-		c.forward(ctx, port.RoutedEvent{Kind: port.RoutedHead, Answer: header})
-	}
-	c.sendEvent(ctx, relay.CallEvent{Kind: relay.CallBegan})
+	c.sendEvent(ctx, relay.CallEvent{Kind: relay.CallBegan, Answer: header})
+	_, err := c.out.Accepted.Get(ctx)
+	return err
 }
 
 // forward sends a part of the answer to the caller. It blocks while the caller's ring is full, which
--- a/internal/service/httpbackend/call_test.go
+++ b/internal/service/httpbackend/call_test.go
@@ -199,6 +199,7 @@
 		Server: model.BackendServer{ID: "b", Address: address},
 		Call:   &model.HTTPCall{Method: "POST", Target: "/x?q=1", Host: "h.example", Body: []byte("body")},
 		Until:  clock.Boot().Add(waitLimit), Events: ring.New[port.RoutedEvent]("answer", 100, ring.Block),
+		Accepted: newAccepted(),
 	}
 	if change != nil {
 		change(&o)
@@ -208,6 +209,7 @@
 		select {
 		case e := <-b.events:
 			if e.Kind == relay.CallBegan {
+				accept(t, &o)
 				continue
 			}
 			return e, forwarded(o.Events)
@@ -217,6 +219,16 @@
 	}
 }
 
+func newAccepted() *ring.Ring[struct{}] { return ring.New[struct{}]("accepted", 1, ring.Refuse) }
+
+// accept accepts the answer of a call, as the relay does when the call has begun to be answered.
+func accept(t *testing.T, o *port.HTTPOutbound) {
+	t.Helper()
+	if err := o.Accepted.Offer(struct{}{}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // forwarded returns the data in the caller's ring, followed by "END" if the answer is complete.
 func forwarded(events *ring.Ring[port.RoutedEvent]) string {
 	var b strings.Builder
@@ -394,3 +406,48 @@
 	}
 	g.Expect(b.events).To(BeEmpty())
 }
+
+// Guards against a caller that gets the beginning of an answer although the relay has ended its request in another
+// way: a call writes nothing to the caller before the relay has accepted its answer.
+func TestNothingIsForwardedBeforeTheAnswerIsAccepted(t *testing.T) {
+	long := strings.Repeat("x", 300<<10)
+	for name, c := range map[string]struct {
+		answer func(w io.Writer)
+		whole  string
+	}{
+		"stream":    {func(w io.Writer) { events(w, "1", "id: 1\n\n", "id: 2\n\n", "") }, "id: 1\n\nid: 2\n\nEND"},
+		"long body": {func(w io.Writer) { reply(w, "1", "", long) }, long + "END"},
+	} {
+		for _, accepted := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, accepted %v", name, accepted), func(t *testing.T) {
+				g := NewWithT(t)
+				closed := make(chan struct{})
+				s := serve(t, func(w net.Conn, _ *http.Request, _ int) bool {
+					c.answer(w)
+					awaitClose(w)
+					close(closed)
+					return false
+				})
+				b := start(t)
+				defer b.stop()
+				o := port.HTTPOutbound{
+					ID: model.RequestID{Instance: "i", Seq: 1}, Send: 1, Attempt: "1", Server: model.BackendServer{ID: "b", Address: s.listener.Addr().String()},
+					Call: &model.HTTPCall{Method: "GET", Target: "/", Host: "h"}, Until: clock.Boot().Add(waitLimit), Stream: true,
+					Events: ring.New[port.RoutedEvent]("answer", 100, ring.Block), Accepted: newAccepted(),
+				}
+				b.OpenCall(o)
+				g.Eventually(b.events, waitLimit).Should(Receive(HaveField("Kind", relay.CallBegan)))
+				g.Consistently(func() int { return o.Events.Stats().Depth }, "200ms").Should(BeZero())
+				if accepted {
+					accept(t, &o)
+					g.Eventually(b.events, waitLimit).Should(Receive(HaveField("Kind", relay.CallEnded)))
+					g.Expect(forwarded(o.Events)).To(Equal(c.whole))
+				} else {
+					b.CancelCall(o.ID, o.Send)
+					g.Eventually(closed, waitLimit).Should(BeClosed())
+					g.Expect(o.Events.Stats().Depth).To(BeZero())
+				}
+			})
+		}
+	}
+}
--- a/internal/service/httpbackend/endless_test.go
+++ b/internal/service/httpbackend/endless_test.go
@@ -164,10 +164,11 @@
 	o := port.HTTPOutbound{
 		ID: model.RequestID{Instance: "i", Seq: 2}, Send: 1, Attempt: "2", Server: model.BackendServer{ID: "b", Address: s.listener.Addr().String()},
 		Call: &model.HTTPCall{Method: "GET", Target: "/", Host: "h"}, Until: clock.Boot().Add(waitLimit), Stream: true,
-		Events: ring.New[port.RoutedEvent]("answer", 100, ring.Block),
+		Events: ring.New[port.RoutedEvent]("answer", 100, ring.Block), Accepted: newAccepted(),
 	}
 	b.OpenCall(o)
 	g.Eventually(b.events, waitLimit).Should(Receive(HaveField("Kind", relay.CallBegan)))
+	accept(t, &o)
 	// The relay cancels a call whose time is over.
 	b.CancelCall(o.ID, o.Send)
 	g.Eventually(closed, waitLimit).Should(Receive())
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -72,9 +72,11 @@
 	// submissions holds the submissions of held and open requests, requests the open ones.
 	submissions map[model.RequestID]*port.RoutedSubmission
 	requests    map[model.RequestID]*relay.Request
-	held        relay.HoldQueue
-	closing     bool
-	onDrained   []func()
+	// accepted holds the ring of the current call of each open request; see port.HTTPOutbound.
+	accepted  map[model.RequestID]*ring.Ring[struct{}]
+	held      relay.HoldQueue
+	closing   bool
+	onDrained []func()
 }
 
 // New returns the service.
@@ -84,6 +86,7 @@
 		invalidLimit: log.RateLimit(event.ServerLimitInvalid), ring: ring.New[message]("relay", ringCapacity, ring.Block),
 		machine: relay.New(retry.New(o.Retries)), admission: relay.Admission{Lease: o.ConfigLease},
 		submissions: make(map[model.RequestID]*port.RoutedSubmission), requests: make(map[model.RequestID]*relay.Request),
+		accepted: make(map[model.RequestID]*ring.Ring[struct{}]),
 	}
 }
 
@@ -158,6 +161,10 @@
 	case *port.RoutedSubmission:
 		s.submit(now, m)
 	case callerLeft:
+		if sub := s.submissions[m.id]; sub != nil {
+			// A call that goes on drops the rest of its answer.
+			sub.Events.Close()
+		}
 		if s.held.Remove(m.id) {
 			delete(s.submissions, m.id)
 		}
@@ -261,8 +268,8 @@
 	return s.admission.Table.Revision()
 }
 
-// deliver puts a whole answer in the caller's ring. The ring is empty because nothing was
-// delivered before.
+// deliver puts a whole answer or the head of one in the caller's ring. The ring is empty because nothing
+// was delivered before: the relay duty alone begins an answer.
 func (s *Service) deliver(sub *port.RoutedSubmission, e port.RoutedEvent) { _ = sub.Events.Offer(e) }
 
 // perform executes the machine's effects and reports the drain as done when no request is left.
@@ -298,6 +305,8 @@
 		if sub := s.submissions[e.ID]; sub != nil {
 			s.refuse(now, sub, e.Fault)
 		}
+	case relay.Begin:
+		s.begin(e)
 	case relay.Abort:
 		s.abort(e)
 	case relay.PassOn:
@@ -313,11 +322,14 @@
 
 func (s *Service) openCall(now time.Time, e relay.StartCall) {
 	sub, r := s.submissions[e.ID], s.requests[e.ID]
+	accepted := ring.New[struct{}]("answer-accepted", 1, ring.Refuse)
+	s.accepted[e.ID] = accepted
 	s.log.Emit(event.RoutedSent, e.ID.String(), sub.Attempt, e.Send, e.Server.ID, e.Server.Address, e.Server.Sequence,
 		e.Waited, e.Until.Sub(now), e.WithoutDispatcher, r.Revision, sub.Parts)
 	s.backend.OpenCall(port.HTTPOutbound{
 		ID: e.ID, Send: e.Send, Attempt: sub.Attempt, Server: e.Server, Team: r.Team, Call: &sub.Call, Parts: sub.Parts, Probe: e.Probe, Until: e.Until,
 		Stream: r.Route.Kind == model.KindStream, Resume: e.Resume, LastEvent: e.LastEvent, Events: sub.Events,
+		Accepted: accepted,
 	})
 }
 
@@ -337,6 +349,15 @@
 	}
 }
 
+// begin gives the caller the head of an answer, and lets the call send the rest.
+func (s *Service) begin(e relay.Begin) {
+	if e.Answer != nil {
+		s.deliver(s.submissions[e.ID], port.RoutedEvent{Kind: port.RoutedHead, Answer: e.Answer})
+	}
+	// The ring of a call takes one item, and each call begins one answer.
+	_ = s.accepted[e.ID].Offer(struct{}{})
+}
+
 func (s *Service) abort(e relay.Abort) {
 	sub := s.submissions[e.ID]
 	if sub == nil {
@@ -361,6 +382,7 @@
 func (s *Service) finish(e relay.Ended) {
 	delete(s.submissions, e.ID)
 	delete(s.requests, e.ID)
+	delete(s.accepted, e.ID)
 	r := e.Request
 	s.log.Emit(event.RoutedEnded, e.ID.String(), r.Attempt, r.Route.Name, r.Team, e.Server, e.Sends, e.Result, e.First, e.Took, r.PromptTokens, r.OutputTokens, r.ExpectedTokens, e.Events)
 	if e.Result == "answered" {
