Handle the messages that wait before a tick

What callers saw: nothing by itself; after a pause of a process its duties let time limits pass although what they waited for was in their rings (requests ended that had been answered, servers or leaders counted as silent). Cause: kernel.Loop checked the tick before each message. After a pause both are due, and the tick went first. Change: when a tick is due, the messages that are in the ring at that moment are handled first, and no later ones, so that a ring that is never empty delays a tick by no more than what it holds. Test: TestATickFollowsTheMessagesThatArrivedBeforeIt failed before: order [0 tick 1 2 3 10], want [0 1 2 3 10 tick]. TestLoopTicksUnderLoad and TestTickCarriesTheTimeOfItsCall pass unchanged; go test ./internal/... passed. Not covered: what waits in a socket's buffer is read after the wake and may still come after the tick; registry and member detect a pause by themselves.

--- a/internal/kernel/duty.go
+++ b/internal/kernel/duty.go
@@ -129,26 +129,22 @@
 func (l Loop[T]) Run(ctx context.Context, d *Duty) {
 	t := l.newTicker()
 	defer t.stop()
-	for {
+	for ctx.Err() == nil {
 		// Ticks are checked before each message, so that timeouts fire even if the ring is
 		// never empty.
 		select {
 		case <-t.c:
+			l.handleQueued(ctx, d, &t)
 			l.tick(l.now(), &t)
 		default:
 		}
-		if m, ok := l.Ring.TryGet(); ok {
-			d.Touch(time.Now())
-			l.Handle(l.now(), m)
-			if ctx.Err() == nil {
-				t.restoreInterval(l)
-				continue
-			}
-			return
+		if l.handleNext(ctx, d, &t) {
+			continue
 		}
 		select {
 		case <-l.Ring.Ready():
 		case <-t.c:
+			l.handleQueued(ctx, d, &t)
 			l.tick(l.now(), &t)
 		case <-l.Ring.Done():
 			if l.Ring.Stats().Depth == 0 {
@@ -160,6 +156,32 @@
 	}
 }
 
+// handleNext handles the oldest message of the ring. It returns false if there is none or the context is
+// cancelled.
+func (l Loop[T]) handleNext(ctx context.Context, d *Duty, t *loopTicker[T]) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	m, ok := l.Ring.TryGet()
+	if !ok {
+		return false
+	}
+	d.Touch(time.Now())
+	l.Handle(l.now(), m)
+	t.restoreInterval(l)
+	return true
+}
+
+// handleQueued handles the messages that are in the ring when a tick comes due. After a pause of the process,
+// timeouts would otherwise fire although what they wait for has arrived.
+func (l Loop[T]) handleQueued(ctx context.Context, d *Duty, t *loopTicker[T]) {
+	for range l.Ring.Stats().Depth {
+		if !l.handleNext(ctx, d, t) {
+			return
+		}
+	}
+}
+
 func (l Loop[T]) now() time.Time {
 	if l.Now == nil {
 		return time.Now()
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,3 +193,39 @@
 		}
 	})
 }
+
+// Guards against a timeout that fires after a pause of the process although what it waits for is in the ring. A
+// ring that is never empty delays the tick by no more than what it holds.
+func TestATickFollowsTheMessagesThatArrivedBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := ring.New[int]("r", 8, ring.Refuse)
+		k := kernel.New(nil)
+		var order []string
+		k.Host().Go("duty", kernel.Loop[int]{
+			Ring: r, TickInterval: time.Second,
+			Handle: func(_ time.Time, n int) {
+				order = append(order, strconv.Itoa(n))
+				if n == 0 {
+					time.Sleep(1500 * time.Millisecond)
+				}
+				_ = r.Offer(n + 10)
+			},
+			OnTick: func(time.Time) {
+				order = append(order, "tick")
+				r.Close()
+			},
+		}.Run, r)
+		for n := range 4 {
+			_ = r.Offer(n)
+		}
+		time.Sleep(1600 * time.Millisecond)
+		// Message 0 added the last message that was in the ring when the tick came due.
+		want := []string{"0", "1", "2", "3", "10", "tick"}
+		if got := order[:min(len(want), len(order))]; !slices.Equal(got, want) {
+			t.Errorf("order %v, want %v first", order, want)
+		}
+		if err := k.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+}
