Recover whichever core instances the seeds are

Cause: two, each enough by itself. Nobody told a process that knows only core instances without a disk who the members of the control group are; and a member asked the contacts of its settings for the voters that its own log names. Beside them, a running process never asked the contacts that its settings name by now, and a folder without a log asked only these to be taken in. Change: a core instance asks itself first; service/referral answers at core instances without a disk with the members that the leader, others or their own connections name; controlcall asks the members that a contact names, and the contacts of the settings again while no leader answers; members stay connected to their contacts; a folder without a log asks the members that the control client knows.

--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -29,6 +30,7 @@
 	"briaryard/internal/service/peers"
 	"briaryard/internal/service/presence"
 	"briaryard/internal/service/quarantine"
+	"briaryard/internal/service/referral"
 	"briaryard/internal/service/registry"
 	"briaryard/internal/service/relay"
 	"briaryard/internal/service/roster"
@@ -103,6 +105,16 @@
 // Member reports whether the process is a member of the control group.
 func (s *RoutedSettings) Member() bool { return s.Role == CoreRole && s.DataFolder != "" }
 
+// firstVoters returns the instances that the control client asks first. A core instance begins with itself:
+// a member has the voters in its log, and any other one knows the members that are connected to it, while
+// the contacts of the settings may name no member.
+func (s *RoutedSettings) firstVoters(contacts []model.InstanceID) []model.InstanceID {
+	if s.Role != CoreRole {
+		return contacts
+	}
+	return append([]model.InstanceID{s.ID}, slices.DeleteFunc(contacts, func(id model.InstanceID) bool { return id == s.ID })...)
+}
+
 // Routed is a running process of a fleet with routes.
 type Routed struct {
 	fx        *fx.App
@@ -168,10 +180,12 @@
 		asService(func(l *event.Log) (*controlclient.Remote, error) {
 			contacts, err := s.Contacts()
 			return controlclient.NewRemote(l, controlclient.RemoteOptions{
-				Voters: contacts, ConfirmWithin: s.ConfigLease, HeartbeatInterval: heartbeatInterval, Now: clock.Boot,
+				Voters: s.firstVoters(contacts), Contacts: s.Contacts, ConfirmWithin: s.ConfigLease, HeartbeatInterval: heartbeatInterval, Now: clock.Boot,
 			}), err
 		}),
-		asService(func(l *event.Log) *topology.Service { return topology.New(l, s.Contacts) }),
+		asService(func(l *event.Log) *topology.Service {
+			return topology.New(l, topology.Options{Contacts: s.Contacts, KeepContacts: s.Member()})
+		}),
 		asService(routes.New),
 		asService(func(l *event.Log, m *metric.Set) *registry.Service {
 			return registry.New(l, m, registry.Options{Core: s.Role == CoreRole, DetectsSilence: s.Member()})
@@ -193,7 +207,7 @@
 				contacts, err := s.Contacts()
 				return control.New(control.Settings{
 					Self: s.ID, Folder: s.DataFolder, Initial: contacts, Limits: state.DefaultLimits(), Now: clock.Boot,
-					Unattended: &control.Unattended{MayFoundGroup: s.Bootstrap, Voters: s.Voters, CompactBytes: compactLogBytes, TrailingEntries: trailingEntries},
+					Unattended: &control.Unattended{MayFoundGroup: s.Bootstrap, Voters: s.Voters, MembersFrom: port.ControlClientName, CompactBytes: compactLogBytes, TrailingEntries: trailingEntries},
 				}, control.WireCodecs{}, control.NewSessionsWithoutLeases(), l), err
 			}),
 			asService(func(l *event.Log, m *metric.Set) *scheduler.Service {
@@ -202,7 +216,7 @@
 		)
 	case s.Role == CoreRole:
 		// The common services forward what this instance accepts to the members of the control group.
-		return fx.Options()
+		return fx.Provide(asService(func() *referral.Service { return referral.New(control.NewCodec()) }))
 	}
 	return fx.Provide(
 		asService(func(l *event.Log) *allocate.Service { return allocate.New(l, s.ID, s.Tolerance) }),
--- a/internal/decide/consensus/bootstrap.go
+++ b/internal/decide/consensus/bootstrap.go
@@ -44,13 +44,17 @@
 	return true
 }
 
+// SetContacts sets instances that may be members. A node that is in no group asks them to join, because the
+// members may be none of the initial voters any more.
+func (n *Node) SetContacts(instances []model.InstanceID) { n.contacts = slices.Clone(instances) }
+
 // requestJoin asks the known instances to add this folder to the group.
 func (n *Node) requestJoin(now time.Time) {
 	if now.Sub(n.joinSent) < MaxElectionTimeout || now.Sub(n.electionReset) < MaxElectionTimeout {
 		return
 	}
 	n.joinSent = now
-	contacts := slices.Clone(n.settings.InitialVoters)
+	contacts := slices.Concat(n.settings.InitialVoters, n.contacts)
 	for _, r := range n.log.members().Members {
 		contacts = append(contacts, r.Instance)
 	}
--- a/internal/decide/consensus/node.go
+++ b/internal/decide/consensus/node.go
@@ -34,6 +34,8 @@
 // Node runs the protocol for one member of the group.
 type Node struct {
 	settings Settings
+	// contacts may be members; see SetContacts.
+	contacts []model.InstanceID
 	rng      *rand.Rand
 	started  time.Time
 
--- a/internal/decide/controlcall/effect.go
+++ b/internal/decide/controlcall/effect.go
@@ -69,6 +69,11 @@
 // LeaderChanged reports the known leader; it is empty if the leader is unknown.
 type LeaderChanged struct{ Leader model.InstanceID }
 
+// ReadContacts asks for the instances that the settings name now, which are passed to AddVoters. The leader
+// has not answered for a while, so that none of the known voters may be left.
+type ReadContacts struct{}
+
+func (ReadContacts) effect()      {}
 func (SendCommand) effect()       {}
 func (SendHeartbeat) effect()     {}
 func (Answer) effect()            {}
--- a/internal/decide/controlcall/heartbeat.go
+++ b/internal/decide/controlcall/heartbeat.go
@@ -194,6 +194,7 @@
 // the last answered one is ignored.
 func (m *Machine) HandleHeartbeatReply(now time.Time, from model.InstanceID, r HeartbeatReply) []Effect {
 	if r.NotLeader {
+		m.AddVoters(r.Voters)
 		m.redirect(now, from, r.Leader)
 		return m.takeEffects()
 	}
--- a/internal/decide/controlcall/machine.go
+++ b/internal/decide/controlcall/machine.go
@@ -38,13 +38,18 @@
 	// redirectInterval limits how often leader hints can move all commands to another voter. Two
 	// voters that name each other during an election would otherwise cause a message storm.
 	redirectInterval = 100 * time.Millisecond
+	// contactsInterval is the time without an answer of the leader after which the machine asks for the
+	// contacts of the settings, and asks again. An election takes up to 2 s.
+	contactsInterval = 3 * time.Second
+	// maxVoters bounds the instances that are asked.
+	maxVoters = 64
 )
 
 // Options are fixed for the life of a Machine.
 type Options struct {
 	Self        model.InstanceID
 	Incarnation model.Incarnation
-	// Voters lists the voters to use until the first answer lists the current ones.
+	// Voters lists the instances to ask until the leader lists the current voters.
 	Voters            []model.InstanceID
 	HeartbeatInterval time.Duration
 	// HolderInterval applies instead while a lease is held here.
@@ -89,6 +94,8 @@
 	lastAnswer  time.Time
 	lastSwitch  time.Time
 	leaderHint  model.InstanceID
+	// contactsAt is when the leader last answered or contacts were last asked for.
+	contactsAt time.Time
 	// suspect is the last target that did not answer. It is avoided until suspectUntil.
 	suspect      model.InstanceID
 	suspectUntil time.Time
@@ -105,7 +112,7 @@
 	if len(m.voters) > 0 {
 		m.target = m.voters[0]
 	}
-	m.targetSince = now
+	m.targetSince, m.contactsAt = now, now
 	if m.options.TargetTimeout == 0 {
 		m.options.TargetTimeout = defaultTargetTimeout
 	}
@@ -196,11 +203,28 @@
 		}
 	}
 	m.commands = slices.DeleteFunc(m.commands, func(c *pendingCommand) bool { return c.done })
+	if now.Sub(m.contactsAt) >= contactsInterval {
+		m.contactsAt = now
+		m.emit(ReadContacts{})
+	}
 	m.resend(now)
 	m.tickHeartbeat(now)
 	return m.takeEffects()
 }
 
+// AddVoters adds instances to those that are asked in turn until the leader answers and lists the
+// voters.
+func (m *Machine) AddVoters(voters []model.InstanceID) {
+	for _, id := range voters {
+		if len(m.voters) < maxVoters && !slices.Contains(m.voters, id) {
+			m.voters = append(m.voters, id)
+		}
+	}
+	if m.target == "" && len(m.voters) > 0 {
+		m.target = m.voters[0]
+	}
+}
+
 // Close ends every pending command and a pending release with an error.
 func (m *Machine) Close() []Effect {
 	for _, c := range m.commands {
@@ -264,7 +288,7 @@
 // leaderAnswered records that the target has answered as the leader.
 func (m *Machine) leaderAnswered(now time.Time, from model.InstanceID) {
 	if from == m.target {
-		m.lastAnswer, m.leaderHint = now, ""
+		m.lastAnswer, m.contactsAt, m.leaderHint = now, now, ""
 		m.setLeader(true)
 	}
 }
--- a/internal/decide/controlcall/machine_test.go
+++ b/internal/decide/controlcall/machine_test.go
@@ -26,6 +26,8 @@
 	confirmed  []bool
 	leases     []controlcall.Lease
 	released   []controlcall.LeasesReleased
+	// contactReads counts the ReadContacts effects.
+	contactReads int
 }
 
 func start() *harness {
@@ -57,6 +59,8 @@
 			h.leases = e.Leases
 		case controlcall.LeasesReleased:
 			h.released = append(h.released, e)
+		case controlcall.ReadContacts:
+			h.contactReads++
 		}
 	}
 }
@@ -324,3 +328,57 @@
 		}
 	})
 }
+
+// Guards against a process that asks only contacts which are no members: one of them names the members, and
+// the leader is among these.
+func TestMembersThatAContactNamesAreAsked(t *testing.T) {
+	h := start()
+	for i := 0; h.lastHeartbeat().To != "m2"; i++ {
+		if i == 20 {
+			t.Fatal("a member that the contacts name is not asked")
+		}
+		b := h.lastHeartbeat()
+		h.record(h.HandleHeartbeatReply(h.now, b.To, controlcall.HeartbeatReply{
+			Seq: b.Seq, NotLeader: true, Answer: session.Answer{Voters: []model.InstanceID{"m1", "m2"}},
+		}))
+		h.advance(100 * time.Millisecond)
+	}
+	h.answerHeartbeat(session.Answer{Revision: 1, Config: &state.AcceptedConfig{Revision: 1}, Voters: []model.InstanceID{"m1", "m2"}})
+	if len(h.configs) != 1 {
+		t.Errorf("configurations %v", h.configs)
+	}
+}
+
+// Guards against a process that goes on asking members which have all left, although its settings name others.
+func TestContactsAreAskedForWhileTheLeaderIsSilent(t *testing.T) {
+	h := start()
+	h.answerHeartbeat(session.Answer{Revision: 1, Voters: []model.InstanceID{"v1"}})
+	h.advance(2900 * time.Millisecond)
+	if h.contactReads != 0 {
+		t.Fatalf("contacts were asked for %d times within 2.9 s", h.contactReads)
+	}
+	h.advance(3200 * time.Millisecond)
+	if h.contactReads != 2 {
+		t.Fatalf("contacts were asked for %d times within 6.1 s, want 2", h.contactReads)
+	}
+	h.AddVoters([]model.InstanceID{"x", "v1"})
+	h.advance(2 * time.Second)
+	if !h.asked("x") {
+		t.Error("the new contact is not asked")
+	}
+	h.answerHeartbeat(session.Answer{Revision: 1, Voters: []model.InstanceID{"x"}})
+	h.advance(100 * time.Millisecond)
+	if h.contactReads != 2 {
+		t.Errorf("contacts were asked for although the leader has answered")
+	}
+}
+
+// asked reports whether a heartbeat was sent to an instance.
+func (h *harness) asked(id model.InstanceID) bool {
+	for _, b := range h.heartbeats {
+		if b.To == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/service/control/duty.go
+++ b/internal/service/control/duty.go
@@ -55,6 +55,8 @@
 	case stopLeading:
 		s.stopRequests = append(s.stopRequests, m)
 		s.node.Transfer(now)
+	case membersKnown:
+		s.node.SetContacts(m.instances)
 	case port.PeerMessage:
 		switch body := m.Body.(type) {
 		case consensus.Message:
--- a/internal/service/control/service.go
+++ b/internal/service/control/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,13 +12,14 @@
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
 	"briaryard/internal/kernel"
+	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/ring"
 	"briaryard/internal/storage"
 	"briaryard/internal/wire/consensuswire"
 )
 
-// message is an entry of the control ring: port.PeerMessage, wake, or stopLeading.
+// message is an entry of the control ring: port.PeerMessage, wake, stopLeading, or membersKnown.
 type message any
 
 // wake makes the control duty check for reports of the sync and snapshot duties.
@@ -26,6 +28,9 @@
 // stopLeading asks the voter to transfer leadership; done is closed once it is not the leader.
 type stopLeading struct{ done chan struct{} }
 
+// membersKnown lists instances that may be members of the group.
+type membersKnown struct{ instances []model.InstanceID }
+
 // Service runs one voter: its consensus node, its replicated state machine and its data folder.
 type Service struct {
 	settings    Settings
@@ -107,7 +112,12 @@
 func (s *Service) Name() string { return port.ControlName }
 
 // Needs implements kernel.Service.
-func (s *Service) Needs() []string { return []string{port.PeersName} }
+func (s *Service) Needs() []string {
+	if u := s.settings.Unattended; u != nil && u.MembersFrom != "" {
+		return []string{port.PeersName, u.MembersFrom}
+	}
+	return []string{port.PeersName}
+}
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(r kernel.Resolver) (err error) {
@@ -117,6 +127,29 @@
 	s.peers.Handle(port.ControlName, codec{commands: s.codecs.Messages()}, func(m port.PeerMessage) error {
 		return s.ring.Offer(m)
 	})
+	if u := s.settings.Unattended; u != nil && u.MembersFrom != "" {
+		return s.subscribeMembers(r, u.MembersFrom)
+	}
+	return nil
+}
+
+// subscribeMembers passes each change of the members that another service knows to the control duty.
+func (s *Service) subscribeMembers(r kernel.Resolver, name string) error {
+	observer, err := kernel.Resolve[port.MembersObserver](r, name)
+	if err != nil {
+		return err
+	}
+	// last belongs to the duty that publishes the members.
+	var last []model.InstanceID
+	observer.SubscribeMembers(func(m port.ControlMembers) {
+		if slices.Equal(m.Instances, last) {
+			return
+		}
+		// A list that does not fit into the ring comes again with the next answer.
+		if s.ring.Offer(membersKnown{m.Instances}) == nil {
+			last = m.Instances
+		}
+	})
 	return nil
 }
 
--- a/internal/service/control/settings.go
+++ b/internal/service/control/settings.go
@@ -61,6 +61,9 @@
 	MayFoundGroup bool
 	// Voters is the number of voters that the leader maintains.
 	Voters int
+	// MembersFrom names the service with the port.MembersObserver that lists the members of an existing
+	// group, for a folder without a log. Without it only the initial voters are asked to join.
+	MembersFrom string
 	// CompactBytes and TrailingEntries replace compactBytes and consensus.TrailingEntries where the
 	// entries are large and the disk is small.
 	CompactBytes    int
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -73,8 +73,11 @@
 
 // RemoteOptions configure Remote.
 type RemoteOptions struct {
-	// Voters are the voters to ask until an answer lists the current ones.
+	// Voters are the instances to ask until the leader lists the current voters.
 	Voters []model.InstanceID
+	// Contacts, if set, reads the instances to ask that the settings name now. It is called when the
+	// leader has not answered for a while.
+	Contacts func() ([]model.InstanceID, error)
 	// ConfirmWithin is the time without a confirmation of the configuration after which the instance
 	// withdraws.
 	ConfirmWithin time.Duration
@@ -286,9 +289,24 @@
 		r.finishRelease(e.Err)
 	case controlcall.LeaderChanged:
 		r.log.Emit(event.ControlLeaderChanged, e.Leader)
+	case controlcall.ReadContacts:
+		r.readContacts()
 	}
 }
 
+// readContacts adds the contacts of the settings to the instances that are asked.
+func (r *Remote) readContacts() {
+	if r.options.Contacts == nil {
+		return
+	}
+	contacts, err := r.options.Contacts()
+	if err != nil {
+		r.log.Emit(event.ContactsUnreadable, err.Error())
+		return
+	}
+	r.machine.AddVoters(contacts)
+}
+
 func (r *Remote) answerCommand(a controlcall.Answer) {
 	d := r.pending[a.ID]
 	delete(r.pending, a.ID)
--- a/internal/service/topology/service.go
+++ b/internal/service/topology/service.go
@@ -17,29 +17,43 @@
 	// leaderTimeout is the time without a list from the leader after which the contacts of the
 	// settings are used again. An election takes up to 2 s.
 	leaderTimeout = 3 * time.Second
-	ringCapacity  = 64
+	// contactsInterval is the time between two reads of the kept contacts while there is a leader.
+	contactsInterval = 3 * time.Second
+	ringCapacity     = 64
 )
 
 // Contacts reads the core instances from the settings as they are now.
 type Contacts func() ([]model.InstanceID, error)
 
+// Options are the settings of the service.
+type Options struct {
+	Contacts Contacts
+	// KeepContacts keeps the connections to the contacts while there is a leader. It is set at members of the
+	// control group: a contact that is no member learns of them by these connections.
+	KeepContacts bool
+}
+
 // Service tells the peers service which instances to connect to.
 type Service struct {
-	log      *event.Log
-	contacts Contacts
-	ring     *ring.Ring[port.ControlMembers]
-	links    port.PeerLinks
-	sinks    []func([]model.InstanceID)
+	log     *event.Log
+	options Options
+	ring    *ring.Ring[port.ControlMembers]
+	links   port.PeerLinks
+	sinks   []func([]model.InstanceID)
 
 	// The fields below belong to the topology duty.
 	coreInstances []model.InstanceID
-	// lastRefresh is when the leader last listed the members or the contacts were last used.
-	lastRefresh time.Time
+	// keptContacts are the contacts to stay connected to, linked the instances that the peers service was
+	// last given.
+	keptContacts, linked []model.InstanceID
+	// lastRefresh is when the leader last listed the members or the contacts were last used, and lastRead
+	// when the kept contacts were last read.
+	lastRefresh, lastRead time.Time
 }
 
 // New returns the service.
-func New(log *event.Log, contacts Contacts) *Service {
-	return &Service{log: log, contacts: contacts, ring: ring.New[port.ControlMembers]("topology", ringCapacity, ring.ReplaceOldest)}
+func New(log *event.Log, o Options) *Service {
+	return &Service{log: log, options: o, ring: ring.New[port.ControlMembers]("topology", ringCapacity, ring.ReplaceOldest)}
 }
 
 // Name implements kernel.Service.
@@ -99,37 +113,63 @@
 }
 
 func (s *Service) onTick(now time.Time) {
-	if now.Sub(s.lastRefresh) >= leaderTimeout {
+	switch {
+	case now.Sub(s.lastRefresh) >= leaderTimeout:
 		s.useContacts(now)
+	case s.options.KeepContacts && now.Sub(s.lastRead) >= contactsInterval:
+		s.readContacts(now)
+		s.link()
 	}
 }
 
 // useContacts adds the contacts of the settings to the known core instances.
 func (s *Service) useContacts(now time.Time) {
 	s.lastRefresh = now
-	contacts, err := s.contacts()
+	if contacts, ok := s.readContacts(now); ok {
+		s.addCore(contacts, "settings")
+	}
+}
+
+// readContacts reads the contacts of the settings as they are now, and keeps them if that is set.
+func (s *Service) readContacts(now time.Time) ([]model.InstanceID, bool) {
+	s.lastRead = now
+	contacts, err := s.options.Contacts()
 	if err != nil {
 		s.log.Emit(event.ContactsUnreadable, err.Error())
-		return
+		return nil, false
+	}
+	if s.options.KeepContacts {
+		s.keptContacts = contacts
 	}
-	s.addCore(contacts, "settings")
+	return contacts, true
 }
 
-// setCore publishes the core instances if they have changed: to the peers service as the instances
-// to connect to, and to the subscribers.
+// setCore publishes the core instances to the subscribers if they have changed, and connects to them.
 func (s *Service) setCore(core []model.InstanceID, source string) {
 	if slices.Equal(core, s.coreInstances) {
 		return
 	}
 	s.coreInstances = core
 	s.log.Emit(event.CoreChanged, core, source)
-	list := make([]model.Instance, 0, len(core))
-	for _, id := range core {
+	s.link()
+	for _, sink := range s.sinks {
+		sink(core)
+	}
+}
+
+// link tells the peers service which instances to connect to, if these have changed: the core instances and
+// the kept contacts.
+func (s *Service) link() {
+	ids := slices.Concat(s.coreInstances, s.keptContacts)
+	slices.Sort(ids)
+	if ids = slices.Compact(ids); slices.Equal(ids, s.linked) {
+		return
+	}
+	s.linked = ids
+	list := make([]model.Instance, 0, len(ids))
+	for _, id := range ids {
 		// The id of a core instance is its peer address.
 		list = append(list, model.Instance{ID: id, PeerAddress: string(id)})
 	}
 	s.links.SetInstances(list)
-	for _, sink := range s.sinks {
-		sink(core)
-	}
 }
--- a/internal/service/topology/service_test.go
+++ b/internal/service/topology/service_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, l := New(log, contacts), &fakeLinks{}
+	s, l := New(log, Options{Contacts: contacts}), &fakeLinks{}
 	s.links = l
 	return s, l
 }
@@ -94,3 +94,26 @@
 	s.onTick(now.Add(leaderTimeout))
 	expectInstances(t, l, "a")
 }
+
+// Guards against contacts that know no member after a restart, because they are no members themselves and no
+// member is connected to them: members follow the contacts also while there is a leader. The subscribers are
+// told of the members alone.
+func TestMembersStayConnectedToTheContacts(t *testing.T) {
+	contacts := []model.InstanceID{"a"}
+	s, l := newService(t, func() ([]model.InstanceID, error) { return contacts, nil })
+	s.options.KeepContacts = true
+	var core []model.InstanceID
+	s.SubscribeCore(func(list []model.InstanceID) { core = list })
+	now := time.Now()
+	s.useContacts(now)
+	s.handle(now, port.ControlMembers{FromLeader: true, Instances: []model.InstanceID{"b", "c"}})
+	expectInstances(t, l, "a", "b", "c")
+	contacts = []model.InstanceID{"x", "y"}
+	now = now.Add(contactsInterval)
+	s.handle(now, port.ControlMembers{FromLeader: true, Instances: []model.InstanceID{"b", "c"}})
+	s.onTick(now)
+	expectInstances(t, l, "b", "c", "x", "y")
+	if !slices.Equal(core, []model.InstanceID{"b", "c"}) {
+		t.Errorf("subscribers were told of %v", core)
+	}
+}
