Bound what answers without an end take together

What callers saw: nothing here; operators of other systems saw a machine run out of memory by a faulty server's bytes without end, and the requests of other clients end with it. Cause: each call was bounded (TestBytesWithoutAnEndEndTheCall), but an answer to a caller that reads slowly kept up to 0.8 MB: 256 KiB before it is forwarded and 32 parts of 16 KiB. Evidence: 64 such answers, all slots of eight engines at one instance, took 49.9 MB; half of the heap of the smallest instances is 39.2 MB. Change: parts of 4 KiB. Test: TestAnswersWithoutAnEndAreBoundedTogether failed before for bodies without and with a length and for failures. Measured: 25.9 MB for bodies, 9.9 for small events, 36.6 for large ones (36.8 and 38.7 before).

--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -39,8 +39,9 @@
 	maxInterimHeads = 8
 	// maxStaleAnswers bounds the answers to other requests that are skipped.
 	maxStaleAnswers = 2
-	// readChunkSize is the buffer size in bytes for reading a long answer or a stream.
-	readChunkSize = 16 << 10
+	// readChunkSize is the buffer size in bytes for reading a long answer or a stream. With the number of
+	// parts that a front end buffers for a slow caller, it bounds the memory of an answer.
+	readChunkSize = 4 << 10
 )
 
 // call sends one request to one server and reads its answer.
--- a/internal/service/httpbackend/endless_test.go
+++ b/internal/service/httpbackend/endless_test.go
@@ -174,3 +174,64 @@
 	g.Eventually(closed, waitLimit).Should(Receive())
 	g.Expect(bytes.Count([]byte(forwarded(o.Events)), []byte("x"))).To(BeZero(), "bytes of an incomplete event were forwarded")
 }
+
+// Guards against an instance that runs out of memory because faulty servers send answers without an end to many
+// callers that read slowly. The smallest instances have 112 MB, and 0.7 of that for the heap; all slots of eight
+// engines at one instance may take half of it.
+func TestAnswersWithoutAnEndAreBoundedTogether(t *testing.T) {
+	const (
+		calls     = 8 * 8
+		heapBytes = 112 << 20 * 7 / 10 / 2
+	)
+	for name, c := range map[string]struct {
+		head, piece string
+		change      func(*port.HTTPOutbound)
+	}{
+		"body":               {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n", piece: strings.Repeat("x", 4096)},
+		"body with a length": {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 99999999999\r\n\r\n", piece: strings.Repeat("x", 4096)},
+		"failure":            {head: "HTTP/1.1 500 X\r\nAttempt: 1\r\n\r\n", piece: strings.Repeat("x", 4096)},
+		"small events":       {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\n", piece: "data: x\n\n", change: stream},
+		"large events":       {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\n", piece: "data: " + strings.Repeat("x", 16000) + "\n\n", change: stream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(w net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(w, c.head)
+				endless(w, []byte(c.piece), 1<<40)
+				return false
+			})
+			b := start(t)
+			defer b.stop()
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			outbound := make([]port.HTTPOutbound, calls)
+			for n := range outbound {
+				// The capacity is that of a front end.
+				outbound[n] = port.HTTPOutbound{
+					ID: model.RequestID{Instance: "i", Seq: uint64(n)}, Send: 1, Attempt: "1", Server: model.BackendServer{ID: "b", Address: s.listener.Addr().String()},
+					Call: &model.HTTPCall{Method: "GET", Target: "/", Host: "h"}, Until: clock.Boot().Add(waitLimit), Events: ring.New[port.RoutedEvent]("answer", 32, ring.Block),
+					Accepted: newAccepted(),
+				}
+				if c.change != nil {
+					c.change(&outbound[n])
+				}
+				b.OpenCall(outbound[n])
+			}
+			for range calls {
+				g.Eventually(b.events, waitLimit).Should(Receive(HaveField("Kind", relay.CallBegan)))
+			}
+			for n := range outbound {
+				accept(t, &outbound[n])
+				g.Eventually(func() int { return outbound[n].Events.Stats().Depth }, waitLimit).Should(Equal(32))
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			t.Logf("%.1f MB for %d answers", float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), calls)
+			g.Expect(after.HeapAlloc - before.HeapAlloc).To(BeNumerically("<", heapBytes))
+			for n := range outbound {
+				b.CancelCall(outbound[n].ID, 1)
+			}
+		})
+	}
+}
