--- a/internal/decide/quarantine/ledger_test.go
+++ b/internal/decide/quarantine/ledger_test.go
@@ -261,3 +261,22 @@
 	g.Expect(refused).To(BeFalse())
 	g.Expect(gate.Sent(start, parts("p"))).To(BeFalse())
 }
+
+// Guards against sound requests of a kind that are refused because single requests of it crash each server that
+// takes them, whatever parts they have: the first part is shared by all, and sound answers on it go on.
+func TestRequestsThatCrashTheirServersBlameNoSharedPart(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger()
+	server := 0
+	for n := range 12 {
+		now := time.Duration(n) * 2 * time.Second
+		// Each such request reaches two servers, one after the other, and another one is sound in between.
+		for range 2 {
+			crash(l, now, server, "first")
+			server++
+			now += 300 * time.Millisecond
+		}
+		g.Expect(held(l, "first")).To(BeFalse(), "after %d crashes", server)
+		l.Observe(at(now), began("first"))
+	}
+}
--- a/internal/decide/relay/machine_test.go
+++ b/internal/decide/relay/machine_test.go
@@ -119,6 +119,27 @@
 	g.Expect(onlyEffect[relay.StartCall](t, m.TakeEffects()).LastEvent).To(Equal("9"))
 }
 
+// Guards against a request that takes one server after the other out of service, because each of them crashes on
+// it before its first event: it reaches as many as its route allows, no server twice, and its caller is told that it
+// may have run.
+func TestARequestThatCrashesItsServersReachesFewOfThem(t *testing.T) {
+	g := NewWithT(t)
+	const servers = 3
+	m := newMachine()
+	m.Arrive(start, request(model.KindStream, true, servers))
+	reached := make(map[model.BackendServerID]bool)
+	for n := 0; m.OpenRequests() > 0; n++ {
+		g.Expect(n).To(BeNumerically("<", servers), "the request goes on after %d servers", n)
+		ask := onlyEffect[relay.RequestServer](t, m.TakeEffects())
+		g.Expect(ask.Request.Tried).To(HaveLen(n))
+		m.HandleDecision(start, grantOf(string(rune('a'+n))), false)
+		reached[onlyEffect[relay.StartCall](t, m.TakeEffects()).Server.ID] = true
+		m.HandleCallEvent(start, relay.CallEvent{ID: id, Send: n + 1, Kind: relay.CallBroken, Cause: &fault.MalformedAnswer{}})
+	}
+	g.Expect(reached).To(HaveLen(servers))
+	g.Expect(code(onlyEffect[relay.Refuse](t, m.TakeEffects()))).To(Equal(fault.CodeAnswerLost))
+}
+
 // Guards against a lost failure answer: it must be delivered when no later call yields an answer.
 func TestAFailureOfTheServerIsDeliveredWhenNoOtherAnswers(t *testing.T) {
 	g := NewWithT(t)
