Name the current call in no field of relay.Begin

The field was set and never read: the relay keeps one ring for the current call of a request. No change of behaviour; the tests of the three packages pass.

--- a/internal/decide/relay/machine.go
+++ b/internal/decide/relay/machine.go
@@ -235,7 +235,7 @@
 	s.events = max(s.events, e.Events)
 	if s.phase == callerGone {
 		if e.Kind == CallBegan {
-			m.emit(Begin{ID: s.ID, Send: s.calls})
+			m.emit(Begin{ID: s.ID})
 			return
 		}
 		m.report(s, e, outcomeOf(e.Kind), false)
@@ -260,7 +260,7 @@
 // handleCallBegan accepts an answer that has begun, so that it is streamed to the caller.
 func (m *Machine) handleCallBegan(now time.Time, s *requestState, e CallEvent) {
 	s.phase = streaming
-	begin := Begin{ID: s.ID, Send: s.calls}
+	begin := Begin{ID: s.ID}
 	if !s.answerBegan {
 		s.answerBegan, s.firstEventAfter = true, now.Sub(s.Arrived)
 		begin.Answer = e.Answer
--- a/internal/decide/relay/types.go
+++ b/internal/decide/relay/types.go
@@ -125,10 +125,9 @@
 	Fault fault.Fault
 }
 
-// Begin accepts the answer that a call has begun: the caller gets no other one from now on.
+// Begin accepts the answer that the current call has begun: the caller gets no other one from now on.
 type Begin struct {
-	ID   model.RequestID
-	Send int
+	ID model.RequestID
 	// Answer holds the status and the header for the caller. It is nil if the call resumes a stream or the
 	// caller has disconnected.
 	Answer *model.HTTPAnswer
