Reserve the memory of request bodies before they are read

Cause: each body was read whole by io.ReadAll before anything bounded it. MaxOpenRequests counts only what has been submitted, and the limit of the garbage collector is soft. Change: one budget for the bodies of a process, 0.45 of its memory (bodyMemoryShare; with the events of streams 0.7, the limit of the heap), owned by service/bodies and shared by decide/bodies: large bodies leave room for small ones, those of less urgent requests for the most urgent. A body of known length is reserved before it is read and read into one buffer of its size; one of unknown length reserves as it grows; up to 4 KiB need nothing. What does not fit is refused unread as not run, with a Retry-After from the rate at which bytes come free. A body that is not there by its caller's own time ends with 408. The relay returns the bytes when the request has ended. The pages of errors, events and metrics are generated.

--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -23,6 +23,7 @@
 	"briaryard/internal/model"
 	"briaryard/internal/port"
 	"briaryard/internal/service/allocate"
+	"briaryard/internal/service/bodies"
 	"briaryard/internal/service/control"
 	"briaryard/internal/service/controlclient"
 	"briaryard/internal/service/httpbackend"
@@ -226,6 +227,7 @@
 		asService(func(l *event.Log, m *metric.Set) *relay.Service {
 			return relay.New(l, m, relay.Options{Domain: s.Domain, ConfigLease: s.ConfigLease, Retries: s.Retries})
 		}),
+		asService(func(l *event.Log, m *metric.Set) *bodies.Service { return bodies.New(l, m, s.bodyBytes()) }),
 		asService(func(l *event.Log) *presence.Service {
 			p := presence.New(l, r.presenceOptions())
 			r.presence = p
@@ -250,6 +252,22 @@
 	return min(int(eventMemoryShare*float64(s.MemoryBytes))/relay.MaxOpenRequests, defaultEventBytes)
 }
 
+const (
+	// bodyMemoryShare is the share of the process's memory that the bodies of requests may use together. With
+	// eventMemoryShare it is memoryLimitShare, the heap.
+	bodyMemoryShare = 0.45
+	// defaultBodyBytes is the budget where the memory is not limited.
+	defaultBodyBytes = 256 << 20
+)
+
+// bodyBytes returns the budget in bytes for the bodies of requests.
+func (s *RoutedSettings) bodyBytes() int64 {
+	if s.MemoryBytes <= 0 {
+		return defaultBodyBytes
+	}
+	return int64(bodyMemoryShare * float64(s.MemoryBytes))
+}
+
 const (
 	// acceptShare, stayShare and endShare are shares of the time for a stop. After them a process
 	// refuses new requests, may exit if no request is open, and exits in any case. Callers use an
--- a/internal/decide/routing/table.go
+++ b/internal/decide/routing/table.go
@@ -14,6 +14,8 @@
 	// hosts holds the routes of each host, longest prefix first.
 	hosts map[string][]*model.HTTPRoute
 	teams map[string]*model.RoutedTeam
+	// mostUrgentRank is the lowest rank of the routes.
+	mostUrgentRank int
 }
 
 // New returns the table of a configuration.
@@ -23,6 +25,9 @@
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		if i == 0 || r.Rank < t.mostUrgentRank {
+			t.mostUrgentRank = r.Rank
+		}
 	}
 	for _, routes := range t.hosts {
 		slices.SortFunc(routes, func(a, b *model.HTTPRoute) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -58,6 +63,12 @@
 	return team, ok
 }
 
+// MostUrgent reports whether a request has the most urgent rank of all routes. One without a route has not.
+func (t *Table) MostUrgent(host, path string) bool {
+	route, ok := t.Route(host, path)
+	return ok && route.Rank == t.mostUrgentRank
+}
+
 // Service chooses a service of a route by weight. The point is at least 0 and below 1; evenly distributed
 // points give each service its share.
 func Service(r *model.HTTPRoute, point float64) model.PoolID {
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -40,6 +40,9 @@
 	PartEvidence = define(1112, slog.LevelWarn, "part.evidence",
 		"The evidence against a prompt part changed: crashes is the number of servers that crashed since it was last cleared, level the number of its quarantines, remaining the rest of the present one. from is the instance that sent the evidence, or empty.",
 		"part", "generation", "crashes", "level", "remaining", "from")
+	BodyRefused = define(1114, slog.LevelInfo, "body.refused",
+		"An instance refused a request before it read its body, because the memory for bodies has no room for it: the bytes asked for and held, those reserved for all bodies, the budget, and whether the request has the most urgent rank.",
+		"attempt", "bytes", "held", "used", "budget", "urgent", "retry_after")
 	LogDropped = define(1106, slog.LevelWarn, "log.dropped",
 		"Log lines were dropped because they could not be written as fast as they were produced.", "lines")
 	ScheduleGranted = define(2101, slog.LevelInfo, "schedule.granted",
--- a/internal/fault/request.go
+++ b/internal/fault/request.go
@@ -14,6 +14,7 @@
 	CodeInvalidRequest     = register("invalid-request", "Invalid request", http.StatusBadRequest, model.NotRun, ExitUsage)
 	CodeInvalidHeader      = register("invalid-header", "Invalid header", http.StatusBadRequest, model.NotRun, ExitUsage)
 	CodeBodyTooLarge       = register("body-too-large", "Body too large", http.StatusRequestEntityTooLarge, model.NotRun, ExitUsage)
+	CodeBodyTimeout        = register("body-timeout", "Body did not arrive in time", http.StatusRequestTimeout, model.NotRun, ExitUnavailable)
 	CodeUnknownPool        = register("unknown-pool", "Unknown model or service", http.StatusNotFound, model.NotRun, ExitInvalid)
 	CodeUnknownTeam        = register("unknown-team", "Unknown team", http.StatusForbidden, model.NotRun, ExitInvalid)
 	CodeUnauthorized       = register("unauthorized", "Missing or wrong token", http.StatusUnauthorized, model.NotRun, ExitInvalid)
@@ -72,6 +73,15 @@
 func (e *BodyTooLarge) Code() Code    { return CodeBodyTooLarge }
 func (e *BodyTooLarge) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.Limit) }
 
+// BodyTimeout reports a request body that did not arrive in time.
+type BodyTimeout struct{ After time.Duration }
+
+// Code implements Fault.
+func (e *BodyTimeout) Code() Code { return CodeBodyTimeout }
+func (e *BodyTimeout) Error() string {
+	return fmt.Sprintf("the body did not arrive within %v", e.After)
+}
+
 // UnknownPool reports a model or service that is not declared.
 type UnknownPool struct{ Pool model.PoolID }
 
--- a/internal/metric/routed.go
+++ b/internal/metric/routed.go
@@ -6,6 +6,8 @@
 	RoutedRequests    = define(KindCounter, "routed_requests", "requests", "result", "Routed requests of this instance, by their result.")
 	RoutedFirst       = define(KindHistogram, "routed_first", "microseconds", "kind", "Time from arrival to the answer or its first event, by the kind of route.")
 	RoutedOpen        = define(KindGauge, "routed_open", "requests", "", "Routed requests of this instance that have no final answer yet.")
+	BodyBytes         = define(KindGauge, "request_body_bytes", "bytes", "", "Bytes that are reserved for the bodies of callers' requests.")
+	BodiesRefused     = define(KindCounter, "request_bodies_refused", "requests", "", "Requests refused before their body was read, because the memory for bodies had no room.")
 	BackendDials      = define(KindCounter, "backend_dials", "connections", "outcome", "Attempts to open a connection to a backend server, by outcome.")
 	CallsLost         = define(KindCounter, "backend_calls_lost", "calls", "server", "Calls with shared prompt parts that were lost before the first event of their answer, by what a new connection to the server showed: ended, open or unreachable.")
 	PartsQuarantined  = define(KindGauge, "prompt_parts_quarantined", "parts", "", "Prompt parts under quarantine, or probed after one.")
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -30,6 +30,8 @@
 	RelayName = "relay"
 	// HTTPBackendName calls backend servers over HTTP.
 	HTTPBackendName = "backend.http"
+	// BodiesName reserves memory for the bodies of callers' requests.
+	BodiesName = "bodies"
 	// QuarantineName finds the parts of prompts that crash servers.
 	QuarantineName = "quarantine"
 	// PresenceName publishes whether this instance accepts requests, and stops it gracefully.
@@ -123,6 +125,32 @@
 	AttachDecisions(sink func(Allocation))
 }
 
+// BodyReservation asks for memory for a body, or for more of it.
+type BodyReservation struct {
+	// Attempt is the caller's id of the attempt. Host and Path select the route.
+	Attempt, Host, Path string
+	// Bytes are asked for now, Held are reserved for the body already.
+	Bytes, Held int64
+	// Answer receives the one answer. It has room for it.
+	Answer *ring.Ring[BodyAnswer]
+}
+
+// BodyAnswer is the answer to a reservation.
+type BodyAnswer struct {
+	Granted bool
+	// RetryAfter is the time after which a refused request should come again.
+	RetryAfter time.Duration
+}
+
+// Bodies shares the memory of the process for the bodies of callers' requests.
+type Bodies interface {
+	// Reserve asks for memory. It returns an error, and gives no answer, if there is no room for the
+	// question.
+	Reserve(r BodyReservation) error
+	// Release returns reserved bytes once the last copy of the body is gone.
+	Release(bytes int64)
+}
+
 // RoutedSubmission is a request as submitted by a front end.
 type RoutedSubmission struct {
 	ID model.RequestID
@@ -133,6 +161,9 @@
 	// Path is the path of the call's target, without the query.
 	Path string
 	Call model.HTTPCall
+	// BodyBytes are reserved for the body. The relay releases them when the request has ended, unless
+	// SubmitRouted returns an error.
+	BodyBytes int64
 	// Timeout is how long the caller waits; zero if it sets no limit.
 	Timeout time.Duration
 	// Prompt, Output and Expected are numbers of tokens; see schedule.Request.
--- a/internal/service/relay/answer_test.go
+++ b/internal/service/relay/answer_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	waitLimit = 20 * time.Second
 	// routeTimeout is long enough for a call to begin before it is over.
 	routeTimeout = 500 * time.Millisecond
+	// bodyBytes are reserved for the body of each request.
+	bodyBytes = 100
 )
 
 // standIn is a service without duties.
@@ -64,6 +67,15 @@
 func (instances) SetPresence(roster.Entry)               {}
 func (instances) SubscribeInstances(func(*roster.Lists)) {}
 
+// bodies counts the bytes that are released.
+type bodies struct {
+	standIn
+	port.Bodies
+	released *atomic.Int64
+}
+
+func (b bodies) Release(bytes int64) { b.released.Add(bytes) }
+
 type registry struct {
 	standIn
 	port.Registry
@@ -119,6 +131,8 @@
 	relay    *relay.Service
 	allocate *allocator
 	heads    chan struct{}
+	// released counts the bytes of bodies that were returned.
+	released atomic.Int64
 	// requests counts the requests that have reached the server, and answer lets it write its answer.
 	requests chan int
 	answer   chan struct{}
@@ -142,6 +156,7 @@
 	k := kernel.New(func(err error) { t.Error(err) })
 	for _, s := range []kernel.Service{
 		peers{standIn: standIn{port.PeersName}}, table, instances{standIn{port.RosterName}}, f.allocate, registry{standIn: standIn{port.RegistryName}},
+		bodies{standIn: standIn{port.BodiesName}, released: &f.released},
 		evidence{standIn{port.QuarantineName}}, dialect{standIn{port.DialectName}, f.heads}, httpbackend.New(log, metrics, httpbackend.Options{MaxEventBytes: 16 << 10}), f.relay,
 	} {
 		if err := k.Register(s); err != nil {
@@ -206,7 +221,7 @@
 	t.Helper()
 	events := ring.New[port.RoutedEvent]("answer", 32, ring.Block)
 	err := f.relay.SubmitRouted(port.RoutedSubmission{
-		ID: f.relay.NewRoutedID(), Attempt: "a", Path: "/x", Model: modelName, Parts: []model.PromptPart{"p"}, Timeout: time.Hour,
+		ID: f.relay.NewRoutedID(), Attempt: "a", Path: "/x", Model: modelName, Parts: []model.PromptPart{"p"}, Timeout: time.Hour, BodyBytes: bodyBytes,
 		Call: model.HTTPCall{Method: http.MethodPost, Target: "/x", Host: "h.example", Body: []byte("prompt")}, Events: events,
 	})
 	if err != nil {
@@ -267,3 +282,25 @@
 		})
 	}
 }
+
+// Guards against memory for bodies that is returned twice, too early or never: a request returns it when it has
+// ended, whether it was answered, refused on arrival or left by its caller.
+func TestTheMemoryOfABodyIsReturnedOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, model.HTTPRoute{Kind: model.KindStream, MaxServers: 1}, 0)
+	answer := f.submit(t, "m")
+	g.Eventually(f.requests, waitLimit).Should(Receive())
+	g.Expect(f.released.Load()).To(BeZero(), "the call still needs the body")
+	close(f.answer)
+	g.Expect(kindsOf(t, answer)).To(HaveEach(BeElementOf(port.RoutedHead, port.RoutedData)))
+	g.Eventually(f.released.Load, waitLimit).Should(Equal(int64(bodyBytes)))
+
+	f.submit(t, "m")
+	g.Eventually(f.requests, waitLimit).Should(Receive())
+	f.relay.CallerLeft(model.RequestID{Instance: "i", Incarnation: 1, Seq: 2})
+	g.Eventually(f.released.Load, waitLimit).Should(Equal(int64(2 * bodyBytes)))
+
+	f.relay.SetClosing(true)
+	g.Expect(kindsOf(t, f.submit(t, "m"))).To(Equal([]port.RoutedKind{port.RoutedRefused}))
+	g.Eventually(f.released.Load, waitLimit).Should(Equal(int64(3 * bodyBytes)))
+}
--- a/internal/service/relay/service.go
+++ b/internal/service/relay/service.go
@@ -60,6 +60,7 @@
 	allocate port.Allocator
 	backend  port.HTTPBackend
 	registry port.Registry
+	bodies   port.Bodies
 	// invalidHold logs the times of servers that cannot be read.
 	invalidHold *event.RateLimited
 	// invalidLimit logs the limits of servers that cannot be read.
@@ -95,7 +96,7 @@
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string {
-	return []string{port.PeersName, port.RoutesName, port.RosterName, port.AllocateName, port.HTTPBackendName, port.RegistryName, port.QuarantineName}
+	return []string{port.PeersName, port.RoutesName, port.RosterName, port.AllocateName, port.HTTPBackendName, port.RegistryName, port.QuarantineName, port.BodiesName}
 }
 
 // Provision implements kernel.Service.
@@ -106,7 +107,7 @@
 	err := r.Bind(kernel.Into(port.PeersName, &s.peers), kernel.Into(port.RoutesName, &routes),
 		kernel.Into(port.RosterName, &instances), kernel.Into(port.AllocateName, &s.allocate),
 		kernel.Into(port.HTTPBackendName, &s.backend), kernel.Into(port.RegistryName, &s.registry),
-		kernel.Into(port.QuarantineName, &evidence))
+		kernel.Into(port.QuarantineName, &evidence), kernel.Into(port.BodiesName, &s.bodies))
 	if err != nil {
 		return err
 	}
@@ -166,7 +167,7 @@
 			sub.Events.Close()
 		}
 		if s.held.Remove(m.id) {
-			delete(s.submissions, m.id)
+			s.remove(m.id)
 		}
 		s.machine.CallerDisconnected(now, m.id)
 	case port.Allocation:
@@ -233,6 +234,7 @@
 	r, f := s.admit(now, arrived, sub)
 	if f != nil {
 		s.refuse(now, sub, f)
+		s.bodies.Release(sub.BodyBytes)
 		return
 	}
 	s.submissions[sub.ID], s.requests[sub.ID] = sub, &r
@@ -378,9 +380,15 @@
 	s.log.Emit(event.RoutedAgain, e.ID.String(), s.requests[e.ID].Attempt, e.Server, e.Kind.String(), cause)
 }
 
+// remove removes a submission and returns the memory of its body.
+func (s *Service) remove(id model.RequestID) {
+	s.bodies.Release(s.submissions[id].BodyBytes)
+	delete(s.submissions, id)
+}
+
 // finish removes a request that has ended, logs it, and counts it if it was answered.
 func (s *Service) finish(e relay.Ended) {
-	delete(s.submissions, e.ID)
+	s.remove(e.ID)
 	delete(s.requests, e.ID)
 	delete(s.accepted, e.ID)
 	r := e.Request
