Let a planned stop last as long as callers read their answers

Cause: the relay ends a request when the whole answer is in the caller's ring, and the stop ended with the last open request. The front end then waited 300 ms for its callers, whatever was left of the stop's time. Change: the front end waits until no connection has an unfinished answer, by what the HTTP server says of each connection, or until the end of the stop (presence.StopEnd). Connections without a request do not count. What is cut is logged with its id (answer.unread, 1115).

--- a/internal/app/routed.go
+++ b/internal/app/routed.go
@@ -342,7 +342,7 @@
 		return fault.ExitInternal, err
 	}
 	code, failure := r.wait(ctx, signals)
-	stop, cancel := context.WithTimeout(context.Background(), routedStopTimeout)
+	stop, cancel := context.WithTimeout(context.Background(), r.stopTimeout())
 	defer cancel()
 	if err := r.Stop(stop); err != nil && failure == nil {
 		return code, err
@@ -350,6 +350,19 @@
 	return code, failure
 }
 
+// stopTimeout returns the time limit for the stop of all services: callers may read their answers until the
+// graceful stop ends.
+func (r *Routed) stopTimeout() time.Duration {
+	if r.presence == nil {
+		return routedStopTimeout
+	}
+	end, ok := r.presence.StopEnd()
+	if !ok {
+		return routedStopTimeout
+	}
+	return max(end.Sub(clock.Boot()), 0) + routedStopTimeout
+}
+
 // wait returns the exit code after a graceful stop, or the error of a duty that panicked.
 func (r *Routed) wait(ctx context.Context, signals <-chan os.Signal) (int, error) {
 	for {
--- a/internal/event/routed.go
+++ b/internal/event/routed.go
@@ -43,6 +43,9 @@
 	BodyRefused = define(1114, slog.LevelInfo, "body.refused",
 		"An instance refused a request before it read its body, because the memory for bodies has no room for it: the bytes asked for and held, those reserved for all bodies, the budget, and whether the request has the most urgent rank.",
 		"attempt", "bytes", "held", "used", "budget", "urgent", "retry_after")
+	AnswerUnread = define(1115, slog.LevelWarn, "answer.unread",
+		"The connection of a caller ended before its whole answer was written, while the instance was being stopped; parts are those that were not written yet.",
+		"request", "attempt", "parts")
 	LogDropped = define(1106, slog.LevelWarn, "log.dropped",
 		"Log lines were dropped because they could not be written as fast as they were produced.", "lines")
 	ScheduleGranted = define(2101, slog.LevelInfo, "schedule.granted",
--- a/internal/port/routed.go
+++ b/internal/port/routed.go
@@ -293,6 +293,9 @@
 type Presence interface {
 	// Ready reports whether callers should send requests to this instance.
 	Ready() bool
+	// StopEnd returns the time on clock.Boot at which the instance ends in any case. It is false if the
+	// instance is not being stopped.
+	StopEnd() (time.Time, bool)
 	// Leave starts the shutdown: callers are directed to other instances, then new requests are
 	// refused. It calls finished once, when no request is open or the time limit has passed.
 	Leave(finished func())
--- a/internal/service/presence/service.go
+++ b/internal/service/presence/service.go
@@ -60,6 +60,8 @@
 	relay   port.Relay
 	ready   atomic.Bool
 	leaving atomic.Bool
+	// stopEnd is nil unless the instance is being stopped.
+	stopEnd atomic.Pointer[time.Time]
 
 	// The fields below belong to the presence duty.
 	admission relay.Admission
@@ -114,6 +116,14 @@
 // Ready implements port.Presence.
 func (s *Service) Ready() bool { return s.ready.Load() }
 
+// StopEnd implements port.Presence.
+func (s *Service) StopEnd() (time.Time, bool) {
+	if end := s.stopEnd.Load(); end != nil {
+		return *end, true
+	}
+	return time.Time{}, false
+}
+
 // Leave implements port.Presence.
 func (s *Service) Leave(finished func()) {
 	s.leaving.Store(true)
@@ -159,7 +169,9 @@
 	}
 	s.finished = m.finished
 	s.pendingSteps = 2
-	s.relay.SetStopTime(now.Add(s.options.MaxStopDuration))
+	end := now.Add(s.options.MaxStopDuration)
+	s.stopEnd.Store(&end)
+	s.relay.SetStopTime(end)
 	time.AfterFunc(s.options.AcceptDuration, func() { s.post(refuseRequests) })
 	time.AfterFunc(s.options.MinStopDuration, func() { s.post(minStopElapsed) })
 	time.AfterFunc(s.options.MaxStopDuration, func() { s.post(maxStopElapsed) })
