Open a call again in the test whose connection took too long

Cause: TestAnswersWithoutAnEndAreBoundedTogether waited for 64 answers and passed over a call that had not been sent, because its connection took longer than the client's limit of 400 ms on a busy machine. Change: a call that was not sent is opened again, as the relay does; any other event fails the test. 64 answers and the bound are as before.

--- a/internal/service/httpbackend/endless_test.go
+++ b/internal/service/httpbackend/endless_test.go
@@ -218,8 +218,18 @@
 				}
 				b.OpenCall(outbound[n])
 			}
-			for range calls {
-				g.Eventually(b.events, waitLimit).Should(Receive(HaveField("Kind", relay.CallBegan)))
+			for began := 0; began < calls; {
+				var e relay.CallEvent
+				g.Eventually(b.events, waitLimit).Should(Receive(&e))
+				if e.Kind == relay.CallUnsent {
+					// The time to open a connection is short on a busy machine; the relay would try again, too.
+					t.Logf("call %d was not sent: %v", e.ID.Seq, e.Cause)
+					outbound[e.ID.Seq].Send++
+					b.OpenCall(outbound[e.ID.Seq])
+					continue
+				}
+				g.Expect(e.Kind).To(Equal(relay.CallBegan), "%v", e.Cause)
+				began++
 			}
 			for n := range outbound {
 				accept(t, &outbound[n])
@@ -230,7 +240,7 @@
 			t.Logf("%.1f MB for %d answers", float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), calls)
 			g.Expect(after.HeapAlloc - before.HeapAlloc).To(BeNumerically("<", heapBytes))
 			for n := range outbound {
-				b.CancelCall(outbound[n].ID, 1)
+				b.CancelCall(outbound[n].ID, outbound[n].Send)
 			}
 		})
 	}
