Let the test's server write small events many at a time

Cause: in TestAnswersWithoutAnEndAreBoundedTogether/small_events the server wrote each event of ten bytes by itself, about 800,000 writes for 64 answers. Change: 400 events to a write; the bytes, the number of answers and the bound are the same.

--- a/internal/service/httpbackend/endless_test.go
+++ b/internal/service/httpbackend/endless_test.go
@@ -190,7 +190,7 @@
 		"body":               {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\n\r\n", piece: strings.Repeat("x", 4096)},
 		"body with a length": {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 99999999999\r\n\r\n", piece: strings.Repeat("x", 4096)},
 		"failure":            {head: "HTTP/1.1 500 X\r\nAttempt: 1\r\n\r\n", piece: strings.Repeat("x", 4096)},
-		"small events":       {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\n", piece: "data: x\n\n", change: stream},
+		"small events":       {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\n", piece: strings.Repeat("data: x\n\n", 400), change: stream},
 		"large events":       {head: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\n", piece: "data: " + strings.Repeat("x", 16000) + "\n\n", change: stream},
 	} {
 		t.Run(name, func(t *testing.T) {
