review: the kills of case 6 follow the usual time of a change

The kill came at a fixed time after the change, which suits one machine only. It now comes at 0.2 to 1.25 of the median time of nine changes.

--- a/review/standins-2/falseack.go
+++ b/review/standins-2/falseack.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -55,14 +56,16 @@
 		return cannot, fmt.Errorf("the first machine leads")
 	}
 	time.Sleep(time.Second)
+	usual := usualTime(r, f, &version)
+	r.line("case", "a change usually takes %v", usual)
 	for round := 1; time.Since(r.began) < playLimit; round++ {
 		leader := f.leader()
 		target, other := f.machines[0], f.machines[1]
 		if leader == f.machines[1] {
 			target, other = f.machines[2], f.machines[0]
 		}
-		// The kill comes 0.3 to 1.8 ms after the change was sent, which takes 1 to 2 ms.
-		delay := 300*time.Microsecond + time.Duration(round*7%16)*100*time.Microsecond
+		// The kill comes at 0.2 to 1.25 of the usual time of a change.
+		delay := time.Duration(float64(usual) * (0.2 + 0.07*float64(round*7%16)))
 		r.line("case", "round %d: leader %s, change at %s, kill after %v", round, leader.name, target.name, delay)
 		bad, err := falseAckRound(r, f, leader, target, other, version, delay, trouble)
 		if err != nil {
@@ -76,6 +79,24 @@
 	return held, nil
 }
 
+// usualTime returns the median time in which a machine that does not lead acknowledges a change.
+func usualTime(r *record, f *fleet, version *int) time.Duration {
+	var took []time.Duration
+	for range 9 {
+		*version++
+		began := time.Now()
+		if putConfig(r, "operator", f.machines[0], *version) == http.StatusOK {
+			took = append(took, time.Since(began))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if len(took) == 0 {
+		return 2 * time.Millisecond
+	}
+	slices.Sort(took)
+	return took[len(took)/2]
+}
+
 func falseAckRound(r *record, f *fleet, leader, target, other *machine, version int, delay time.Duration, trouble bool) (bool, error) {
 	// A planned restart: the change is the first one that the new process handles.
 	target.signal(roleCore, syscall.SIGTERM)
