controlcall: Number commands from a random start in each process

Cause: a control client numbered its commands from 1 in each process, and an answer names its command by that number alone. A leader that could not commit a change while two of three members were down commits it when they are back, and sends the answer to the instance, whose new process takes it for the answer to its own command of the same number and drops that command before it has reached the leader.

Ruled out: a loss in the log of the control group (no member ever had the entry of the second change; with commands that begin at another number the same script keeps it), and an answer delivered twice by the connections between instances (their messages are bound to an incarnation; the answer is sent only after the new process has connected).

Change: the control client draws the number before its first command at random (62 bits), so that no number of an earlier process names a command of this one. The format of the messages and the leader stay as they are, so a fleet can be upgraded one instance at a time. An answer to a number that the process has not used is logged as control.reply_foreign.

--- a/internal/decide/controlcall/effect.go
+++ b/internal/decide/controlcall/effect.go
@@ -32,6 +32,13 @@
 	Err    error
 }
 
+// ForeignReply reports an answer to a command that this process has not sent, probably one of an earlier process
+// of the instance.
+type ForeignReply struct {
+	From model.InstanceID
+	ID   uint64
+}
+
 // PublishLeases publishes the lease table. A lease that this instance no longer holds by its own
 // clock has no holder.
 type PublishLeases struct{ Leases []Lease }
@@ -81,6 +88,7 @@
 func (SendCommand) effect()       {}
 func (SendHeartbeat) effect()     {}
 func (Answer) effect()            {}
+func (ForeignReply) effect()      {}
 func (PublishLeases) effect()     {}
 func (PublishConfig) effect()     {}
 func (PublishConfirmed) effect()  {}
--- a/internal/decide/controlcall/machine.go
+++ b/internal/decide/controlcall/machine.go
@@ -58,6 +58,10 @@
 	Lease session.Options
 	// ConfirmWithin is the time without confirmation after which the instance withdraws.
 	ConfirmWithin time.Duration
+	// FirstNumber is the number before that of the first command. It is drawn at random for each process:
+	// an answer names its command by the number alone, and the leader may still answer a command of an earlier
+	// process of the instance.
+	FirstNumber uint64
 	// TargetTimeout is how long a voter may fail to answer before the machine switches to another
 	// one; zero means defaultTargetTimeout.
 	TargetTimeout time.Duration
@@ -106,7 +110,7 @@
 // New returns a machine whose first target is the first voter.
 func New(now time.Time, options Options) *Machine {
 	m := &Machine{
-		options: options, byID: make(map[uint64]*pendingCommand), voters: slices.Clone(options.Voters),
+		options: options, byID: make(map[uint64]*pendingCommand), nextID: options.FirstNumber, voters: slices.Clone(options.Voters),
 		heartbeat: newHeartbeatState(now),
 	}
 	if len(m.voters) > 0 {
@@ -162,7 +166,8 @@
 	Leader    model.InstanceID
 }
 
-// HandleReply handles the answer to a command. The second and later answers are ignored.
+// HandleReply handles the answer to a command. The second and later answers are ignored, and so are those to
+// commands of an earlier process.
 func (m *Machine) HandleReply(now time.Time, from model.InstanceID, r Reply) []Effect {
 	if r.NotLeader {
 		m.redirect(now, from, r.Leader)
@@ -174,10 +179,15 @@
 		if c.release {
 			m.sendHeartbeat(now)
 		}
+	} else if !m.issued(r.ID) {
+		m.emit(ForeignReply{From: from, ID: r.ID})
 	}
 	return m.takeEffects()
 }
 
+// issued reports whether a command of this process has the number.
+func (m *Machine) issued(id uint64) bool { return id > m.options.FirstNumber && id <= m.nextID }
+
 // finish ends a command with its answer.
 func (m *Machine) finish(c *pendingCommand, a Answer) {
 	delete(m.byID, c.id)
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -32,6 +32,9 @@
 		"The control group did not answer a command in time; the command may have been applied.", "command", "error")
 	LeasesNotReleased = define(3054, slog.LevelWarn, "control.leases_not_released",
 		"The leases of this instance could not be released; other instances can acquire them once they expire.", "error")
+	ControlReplyForeign = define(3055, slog.LevelWarn, "control.reply_foreign",
+		"A member of the control group answered a command that this process has not sent, probably one of an earlier process of "+
+			"this instance; the answer is ignored.", "from", "command_id")
 	ControlOpened = define(3010, slog.LevelInfo, "control.opened",
 		"The voter opened its data folder.", "folder", "incarnation", "boot", "term", "last_index", "snapshot_index", "took")
 	ControlLeads = define(3011, slog.LevelInfo, "control.leads",
--- a/internal/port/controlmsg.go
+++ b/internal/port/controlmsg.go
@@ -9,8 +9,8 @@
 
 // Messages from an instance to a voter, sent to ControlName.
 type (
-	// CommandRequest asks the leader to commit a command. ID is unique for the sender's
-	// incarnation; a resent request has the same ID.
+	// CommandRequest asks the leader to commit a command. ID is unique among the processes of the
+	// sender; a resent request has the same ID.
 	CommandRequest struct {
 		ID      uint64
 		Command state.Command
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"sync/atomic"
 	"time"
 
@@ -129,6 +131,17 @@
 	return nil
 }
 
+// maxFirstNumber leaves room for the numbers that follow. It is large enough that two processes of an instance
+// never use the same number.
+const maxFirstNumber = 1 << 62
+
+// firstNumber draws the number at which a process begins to count its commands.
+func firstNumber() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:]) % maxFirstNumber
+}
+
 func (r *Remote) run(ctx context.Context, d *kernel.Duty) {
 	self, incarnation := r.peers.Self()
 	now := r.options.Now()
@@ -136,6 +149,7 @@
 		Self: self, Incarnation: incarnation, Voters: r.options.Voters,
 		HeartbeatInterval: r.options.HeartbeatInterval, HolderInterval: port.HolderInterval, ConfirmWithin: r.options.ConfirmWithin,
 		TargetTimeout: 2 * r.options.HeartbeatInterval,
+		FirstNumber:   firstNumber(),
 		Lease:         session.Options{LeaseDuration: port.LeaseDuration, DriftPercent: port.MaxClockDrift},
 	})
 	r.onTick(now)
@@ -279,6 +293,8 @@
 		}
 	case controlcall.Answer:
 		r.answerCommand(e)
+	case controlcall.ForeignReply:
+		r.log.Emit(event.ControlReplyForeign, e.From, e.ID)
 	case controlcall.PublishLeases:
 		r.publishLeases(e.Leases)
 	case controlcall.PublishConfig:
