controlcall: Number heartbeats from a random start in each process

What callers could see: a machine that has just restarted answers with an older configuration and counts itself as confirmed, or acts on a lease for longer than the leader grants it.

An answer names its heartbeat by a number that began at 1 in each process, and the client takes the send time of the heartbeat with that number as the time at which the answer holds: for the age of the configuration, its confirmation and the expiry of leases. The answer to a heartbeat of an earlier process, sent when the new one has connected, was given before that time.

Ruled out: the leader renews nothing for an earlier incarnation (session.Tracker.Handle), but it may have handled the heartbeat before the new process sent its first one.

Change: heartbeats count on from the same random number as commands; an answer to an unknown heartbeat was ignored already.

Test: TestAnAnswerToAnEarlierProcessConfirmsNothing failed before ("an answer to a heartbeat of an earlier process confirmed the configuration") and passes.

--- a/internal/decide/controlcall/heartbeat.go
+++ b/internal/decide/controlcall/heartbeat.go
@@ -52,9 +52,9 @@
 	releaseDeadline time.Time
 }
 
-func newHeartbeatState(now time.Time) heartbeatState {
+func newHeartbeatState(now time.Time, first uint64) heartbeatState {
 	return heartbeatState{
-		sent: make(map[uint64]sentHeartbeat), leases: make(map[string]state.Lease),
+		seq: first, sent: make(map[uint64]sentHeartbeat), leases: make(map[string]state.Lease),
 		renewed: make(map[string]time.Time), publishedAt: now,
 	}
 }
--- a/internal/decide/controlcall/machine.go
+++ b/internal/decide/controlcall/machine.go
@@ -58,9 +58,9 @@
 	Lease session.Options
 	// ConfirmWithin is the time without confirmation after which the instance withdraws.
 	ConfirmWithin time.Duration
-	// FirstNumber is the number before that of the first command. It is drawn at random for each process:
-	// an answer names its command by the number alone, and the leader may still answer a command of an earlier
-	// process of the instance.
+	// FirstNumber is the number before those of the first command and of the first heartbeat. It is drawn at
+	// random for each process: an answer names its command or heartbeat by the number alone, and the leader may
+	// still answer an earlier process of the instance.
 	FirstNumber uint64
 	// TargetTimeout is how long a voter may fail to answer before the machine switches to another
 	// one; zero means defaultTargetTimeout.
@@ -111,7 +111,7 @@
 func New(now time.Time, options Options) *Machine {
 	m := &Machine{
 		options: options, byID: make(map[uint64]*pendingCommand), nextID: options.FirstNumber, voters: slices.Clone(options.Voters),
-		heartbeat: newHeartbeatState(now),
+		heartbeat: newHeartbeatState(now, options.FirstNumber),
 	}
 	if len(m.voters) > 0 {
 		m.target = m.voters[0]
--- a/internal/port/controlmsg.go
+++ b/internal/port/controlmsg.go
@@ -19,7 +19,7 @@
 	// renews the listed leases; the holder measures their duration from the time at which it
 	// sent the heartbeat.
 	Heartbeat struct {
-		// Seq numbers the heartbeats of an incarnation; the reply repeats it.
+		// Seq numbers the heartbeats and is unique among the processes of the sender; the reply repeats it.
 		Seq      uint64
 		Instance model.InstanceID
 		// Incarnation is the incarnation of the sender.
--- a/internal/service/controlclient/remote.go
+++ b/internal/service/controlclient/remote.go
@@ -135,7 +135,7 @@
 // never use the same number.
 const maxFirstNumber = 1 << 62
 
-// firstNumber draws the number at which a process begins to count its commands.
+// firstNumber draws the number at which a process begins to count its commands and heartbeats.
 func firstNumber() uint64 {
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // never fails
--- a/internal/service/controlclient/restart_test.go
+++ b/internal/service/controlclient/restart_test.go
@@ -54,3 +54,32 @@
 		t.Fatalf("answered with %+v, although no member has received the change", r.Result)
 	}
 }
+
+// Guards against an answer to a heartbeat of an earlier process that confirms the configuration in force, from the
+// time of a heartbeat that nobody has answered.
+func TestAnAnswerToAnEarlierProcessConfirmsNothing(t *testing.T) {
+	second, deliver := restart(t, func(c *client) {
+		apply := state.ReplaceConfig{Number: 1, Content: []byte("x")}
+		if err := c.Do(apply, func(port.ControlReply) {}); err != nil {
+			t.Fatal(err)
+		}
+		receive(t, c.configs, func(state.AcceptedConfig) bool { return true })
+		c.ConfirmConfig(1)
+		receive(t, c.confirmed, func(ok bool) bool { return ok })
+	})
+	second.ConfirmConfig(1)
+	answers := make(chan port.ControlReply, 1)
+	// The command ends unanswered after 2 s, by when the second process has sent several heartbeats.
+	if err := second.Do(state.ReadConfig{}, func(r port.ControlReply) { answers <- r }); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, answers, anyReply)
+	deliver()
+	second.stop()
+	close(second.confirmed)
+	for ok := range second.confirmed {
+		if ok {
+			t.Fatal("an answer to a heartbeat of an earlier process confirmed the configuration")
+		}
+	}
+}
