peers: Raise the incarnations of two processes to different values

What callers could see: an answer or a grant for a request of an earlier process is taken for that of another request.

Cause: a process whose clock went back takes the incarnation known + 1. Two processes of an instance get the same one if the second finds only instances that have not heard of the first, and the ids of their requests, of the links between instances and of the messages on them begin again in each incarnation.

Ruled out: equal incarnations without a raise, because they are start times in nanoseconds.

Change: the raise has a random part of up to 1 ms in nanoseconds, a million values.

Test: TestProcessesAreNotRaisedToTheSameIncarnation failed before ("both processes have the incarnation of map[51:true]") and passes.

--- a/internal/service/peers/handshake.go
+++ b/internal/service/peers/handshake.go
@@ -218,8 +218,8 @@
 	}
 	highest := s.incarnation.Load()
 	for range s.options.Peers {
-		if known := uint64(<-replies); known >= highest {
-			highest = known + 1
+		if known := <-replies; uint64(known) >= highest {
+			highest = incarnationAbove(known)
 		}
 	}
 	if highest > s.incarnation.Load() {
@@ -228,6 +228,16 @@
 	}
 }
 
+// maxIncarnationStep bounds the random part of a raised incarnation. Incarnations are times in nanoseconds, so it is
+// one millisecond.
+const maxIncarnationStep = uint64(time.Millisecond)
+
+// incarnationAbove returns an incarnation above a known one. It is random, because another process of this
+// instance may have been raised above the same one, and ids of requests count from 1 in each incarnation.
+func incarnationAbove(known model.Incarnation) uint64 {
+	return uint64(known) + 1 + rand.Uint64N(maxIncarnationStep)
+}
+
 // localAddress returns the source address of outgoing connections: the IP address that this
 // instance listens on, so that network devices between the machines see one address for each
 // instance. It is nil, which leaves the choice to the operating system, if the listener is not
--- a/internal/service/peers/peers_test.go
+++ b/internal/service/peers/peers_test.go
@@ -241,3 +241,22 @@
 		t.Fatalf("incarnation is %d, want more than 50", incarnation)
 	}
 }
+
+// Guards against two processes of an instance that are raised above the same known incarnation, for example while
+// those that know the first one are cut off: requests of the second would have the ids of the first one's.
+func TestProcessesAreNotRaisedToTheSameIncarnation(t *testing.T) {
+	raised := make(map[model.Incarnation]bool)
+	for range 2 {
+		la, lb := listen(t), listen(t)
+		a := startInstance(t, "a", 1, "secret", la, "")
+		old := startInstance(t, "b", 50, "secret", lb, "", la.Addr().String())
+		eventually(t, "connection", func() bool { return a.count(port.PeerUp) > 0 })
+		old.stop()
+		again := startInstance(t, "b", 7, "secret", listen(t), "", la.Addr().String())
+		_, incarnation := again.service.Self()
+		raised[incarnation] = true
+	}
+	if len(raised) != 2 {
+		t.Fatalf("both processes have the incarnation of %v", raised)
+	}
+}
--- a/internal/service/peers/service.go
+++ b/internal/service/peers/service.go
@@ -255,8 +255,9 @@
 func (s *Service) handleLaterIncarnation(known model.Incarnation) {
 	if s.options.RaiseIncarnation {
 		if uint64(known) >= s.incarnation.Load() {
-			s.incarnation.Store(uint64(known) + 1)
-			s.log.Emit(event.IncarnationRaised, s.options.Self.ID, uint64(known)+1)
+			raised := incarnationAbove(known)
+			s.incarnation.Store(raised)
+			s.log.Emit(event.IncarnationRaised, s.options.Self.ID, raised)
 		}
 		return
 	}
