httpanswer: Tell the end of a server's data from the loss of its connection

What callers saw (MIXED): a server answers a long upload early with a 200 that has no length, sends a part of its body and resets the connection while the upload is being written; the caller gets that part as a complete answer.

Cause: the kernel reports a reset to one system call only. While another duty writes the rest of the request this can be its write, and the read after it returns 0 bytes, which ends a body without a length. The error of the write was dropped, because a server may answer and stop reading. The clients on net/http have the same two system calls at once. A request that was written in part before its answer is read meets the same order of events.

Ruled out: a loss of the bytes of the answer (the kernel keeps what has arrived), and a reset without a write under way, which the read reports.

Change: all clients of servers read and write through httpanswer.Conn. When a read finds the end of the data and the connection is closed in both directions, it waits for the write in progress, which ends at once, and reports a reset if that write failed other than with EPIPE. The kernel gives EPIPE where the server had ended its side before the reset: such an answer is whole, as is one whose server goes on reading, or only holds the connection open. A reset ends as a broken call, never as "not run".

--- /dev/null
+++ b/internal/httpanswer/doc.go
@@ -0,0 +1,3 @@
+// Package httpanswer decides which answers of backend servers and engines are whole. All clients of servers open
+// their connections with it: Conn tells the end of a connection from its loss.
+package httpanswer
--- a/internal/service/engineclient/client.go
+++ b/internal/service/engineclient/client.go
@@ -17,6 +17,7 @@
 	"briaryard/internal/decide/placement"
 	"briaryard/internal/event"
 	"briaryard/internal/fault"
+	"briaryard/internal/httpanswer"
 	"briaryard/internal/kernel"
 	"briaryard/internal/outcall"
 	"briaryard/internal/port"
@@ -42,7 +43,7 @@
 
 // New returns the service. outgoing adds the token and TLS to the calls.
 func New(log *event.Log, outgoing *trust.Outgoing) *Service {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	dial := httpanswer.Dial(&net.Dialer{Timeout: dialTimeout})
 	c := &client{log: log, outgoing: outgoing, dial: outgoing.Dial(dial), http: &http.Client{
 		Transport:     outgoing.Transport(&http.Transport{DialContext: dial, DisableKeepAlives: true}),
 		CheckRedirect: trust.NoRedirects,
--- a/internal/service/httpbackend/conn.go
+++ b/internal/service/httpbackend/conn.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"briaryard/internal/httpanswer"
 	"briaryard/internal/model"
 )
 
@@ -40,7 +41,7 @@
 // conn is a connection to a backend server.
 type conn struct {
 	server model.BackendServer
-	tcp    *net.TCPConn
+	tcp    *httpanswer.Conn
 	limit  *limitedReader
 	reader *bufio.Reader
 	// answersRead counts the calls whose answer was read completely.
@@ -51,7 +52,7 @@
 
 // limitedReader reads at most remaining bytes, so that an endless header cannot exhaust memory.
 type limitedReader struct {
-	tcp       *net.TCPConn
+	tcp       *httpanswer.Conn
 	remaining int
 }
 
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp := c.(*net.TCPConn)
+	tcp := httpanswer.NewConn(c.(*net.TCPConn))
 	l := &limitedReader{tcp: tcp}
 	return &conn{server: server, tcp: tcp, limit: l, reader: bufio.NewReaderSize(l, readBufferSize)}, nil
 }
--- a/internal/service/plainclient/client.go
+++ b/internal/service/plainclient/client.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"briaryard/internal/fault"
+	"briaryard/internal/httpanswer"
 	"briaryard/internal/outcall"
 	"briaryard/internal/port"
 	"briaryard/internal/trust"
@@ -32,7 +33,7 @@
 	c := &client{http: &http.Client{
 		Timeout: callTimeout,
 		Transport: outgoing.Transport(&http.Transport{
-			DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:       httpanswer.Dial(&net.Dialer{Timeout: dialTimeout}),
 			DisableKeepAlives: true,
 		}),
 		CheckRedirect: trust.NoRedirects,
