httpanswer: Read an early answer on net/http clients when the request can't be written

What callers saw: a plain service answers a long call before it has read all of it, with a whole body, and closes; the call ends as failed, with a "may have run" that a caller cannot repeat.

Cause: http.Transport closes a connection, and with it the answer that has arrived, as soon as a write fails.

Ruled out: hiding the error from http.Transport in the connection (tried; it works for a reset, and the interim answers and field names that http.Transport accepts would still need a check outside of it).

Change: httpanswer.Transport is the http.RoundTripper of the clients of engines and plain services. Each call has a connection of its own, as before; one goroutine writes the request while the answer is read, and the answer decides. TLS and the token come from trust.Outgoing, as for orders.

Test: plainclient TestAnEarlyAnswerIsComplete failed before in the case "with a length, then reset" ("write: connection reset by peer"); 20 calls in each of its 3 cases pass.

--- a/internal/service/engineclient/client.go
+++ b/internal/service/engineclient/client.go
@@ -43,9 +43,9 @@
 
 // New returns the service. outgoing adds the token and TLS to the calls.
 func New(log *event.Log, outgoing *trust.Outgoing) *Service {
-	dial := httpanswer.Dial(&net.Dialer{Timeout: dialTimeout})
-	c := &client{log: log, outgoing: outgoing, dial: outgoing.Dial(dial), http: &http.Client{
-		Transport:     outgoing.Transport(&http.Transport{DialContext: dial, DisableKeepAlives: true}),
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c := &client{log: log, outgoing: outgoing, dial: outgoing.Dial(dialer.DialContext), http: &http.Client{
+		Transport:     &httpanswer.Transport{Dial: outgoing.Dial(httpanswer.Dial(dialer))},
 		CheckRedirect: trust.NoRedirects,
 	}}
 	return &Service{Group: outcall.NewGroup(port.EngineClientName, c.call), client: c}
@@ -205,7 +205,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := c.http.Do(request)
+	response, err := c.do(request)
 	if err != nil {
 		return err
 	}
@@ -217,6 +217,12 @@
 	return s.read(response.Body, func() { watchdog.Reset(silenceTimeout) })
 }
 
+// do sends a request with the token of outgoing calls.
+func (c *client) do(r *http.Request) (*http.Response, error) {
+	c.outgoing.Authorize(r.Header)
+	return c.http.Do(r)
+}
+
 // NotAdmittedHeader is the header with which an engine states that it did not run the call.
 const NotAdmittedHeader = "Briaryard-Not-Admitted"
 
@@ -237,7 +243,7 @@
 	if err != nil {
 		return "", err
 	}
-	response, err := c.http.Do(r)
+	response, err := c.do(r)
 	if err != nil {
 		return "", err
 	}
--- a/internal/service/plainclient/client.go
+++ b/internal/service/plainclient/client.go
@@ -30,18 +30,18 @@
 
 // New returns the service. outgoing adds the token and TLS to the calls.
 func New(outgoing *trust.Outgoing) *outcall.Group {
-	c := &client{http: &http.Client{
-		Timeout: callTimeout,
-		Transport: outgoing.Transport(&http.Transport{
-			DialContext:       httpanswer.Dial(&net.Dialer{Timeout: dialTimeout}),
-			DisableKeepAlives: true,
-		}),
+	c := &client{outgoing: outgoing, http: &http.Client{
+		Timeout:       callTimeout,
+		Transport:     &httpanswer.Transport{Dial: outgoing.Dial(httpanswer.Dial(&net.Dialer{Timeout: dialTimeout}))},
 		CheckRedirect: trust.NoRedirects,
 	}}
 	return outcall.NewGroup(port.PlainClientName, c.call)
 }
 
-type client struct{ http *http.Client }
+type client struct {
+	outgoing *trust.Outgoing
+	http     *http.Client
+}
 
 // call performs one call. It reads the whole answer before it sends any part of it to the sink, so
 // that a failed call delivers no data.
@@ -78,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.outgoing.Authorize(request.Header)
 	request.Header.Set("X-Request-Id", out.Request.String())
 	if out.Call.ContentType != "" {
 		request.Header.Set("Content-Type", out.Call.ContentType)
--- a/internal/service/plainclient/client_test.go
+++ b/internal/service/plainclient/client_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +91,36 @@
 		g.Expect(last.NotRun).To(BeFalse())
 	}
 }
+
+// Guards against a whole answer that is lost because its server gives it before it has read the request.
+func TestAnEarlyAnswerIsComplete(t *testing.T) {
+	body := strings.Repeat("y", 900)
+	for name, c := range map[string]struct {
+		head   string
+		finish func(w *net.TCPConn, r *http.Request)
+	}{
+		"reads on": {finish: func(w *net.TCPConn, r *http.Request) {
+			_ = w.CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+		}},
+		"reads no further": {finish: func(w *net.TCPConn, _ *http.Request) {
+			_ = w.CloseWrite()
+			time.Sleep(10 * time.Millisecond)
+			_ = w.SetLinger(0)
+		}},
+		"with a length, then reset": {head: fmt.Sprintf("Content-Length: %d\r\n", len(body)), finish: func(w *net.TCPConn, _ *http.Request) { _ = w.SetLinger(0) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			address := serve(t, func(w *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n"+c.head+"\r\n"+body)
+				c.finish(w, r)
+			})
+			for range tries {
+				data, last := call(t, address)
+				g.Expect(last.Kind).To(Equal(port.StreamEnd), "%v", last.Err)
+				g.Expect(data).To(Equal(body))
+			}
+		})
+	}
+}
