httpanswer: Accept only valid status lines

Cause: net/http takes any three digits for a status. httpbackend counted each one below 200 as an interim head, 000, 042 and 101 too, and read on; 600 to 999 were passed on. On http.Client a 000 was the answer. A refusal with such a status proved to the clients of engines and plain services that a call was not run. Each client parsed heads by itself.

Ruled out: a wrong reading of the status (the digits arrive as they were sent).

Change: httpanswer.Reader reads the heads for all clients: those of httpbackend, the calls and orders of engines, the calls of plain services. It scans a head, checks it and puts it back for net/http to parse. Valid are HTTP/1, a status line without control bytes, 100 and 102 to 199 as interim heads and 200 to 599 as answers. 101 is none, because no client asks for another protocol. Anything else is a malformed answer, which ends as a broken call. The bounds on heads, which were httpbackend's, now hold for all clients. The counter backend_answers_malformed counts them.

--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -1,7 +1,6 @@
 package httpanswer
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -45,11 +44,12 @@
 	// The answer decides about the call, so the error of a write is of no use: a server may answer before it has read
 	// the request.
 	go func() { _ = request.Write(conn) }()
-	resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+	resp, err := NewReader(conn).ReadHead(r.Method)
 	if err != nil {
 		_ = b.Close()
 		return nil, b.cause(err)
 	}
+	resp.Request = r
 	b.body, resp.Body = resp.Body, b
 	return resp, nil
 }
--- a/internal/metric/routed.go
+++ b/internal/metric/routed.go
@@ -10,6 +10,7 @@
 	BodyBytes         = define(KindGauge, "request_body_bytes", "bytes", "", "Bytes that are reserved for the bodies of callers' requests.")
 	BodiesRefused     = define(KindCounter, "request_bodies_refused", "requests", "", "Requests refused before their body was read, because the memory for bodies had no room.")
 	BackendDials      = define(KindCounter, "backend_dials", "connections", "outcome", "Attempts to open a connection to a backend server, by outcome.")
+	AnswersMalformed  = define(KindCounter, "backend_answers_malformed", "answers", "", "Answers of backend servers that are no valid HTTP or do not belong to their request.")
 	CallsLost         = define(KindCounter, "backend_calls_lost", "calls", "server", "Calls with shared prompt parts that were lost before the first event of their answer, by what a new connection to the server showed: ended, open or unreachable.")
 	PartsQuarantined  = define(KindGauge, "prompt_parts_quarantined", "parts", "", "Prompt parts under quarantine, or probed after one.")
 	RolloutChanges    = define(KindCounter, "rollout_changes", "changes", "change", "Changes of roll-outs at this instance as leader: started, trusted, completed or rolled_back.")
--- a/internal/service/engineclient/order.go
+++ b/internal/service/engineclient/order.go
@@ -1,7 +1,6 @@
 package engineclient
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -11,6 +10,7 @@
 
 	"briaryard/internal/decide/placement"
 	"briaryard/internal/fault"
+	"briaryard/internal/httpanswer"
 	"briaryard/internal/port"
 )
 
@@ -67,7 +67,7 @@
 		}
 		return placement.Unknown, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	response, err := httpanswer.NewReader(conn).ReadHead(http.MethodPost)
 	if err != nil {
 		return placement.Unknown, err
 	}
--- a/internal/service/httpbackend/call.go
+++ b/internal/service/httpbackend/call.go
@@ -34,9 +34,6 @@
 	// connection can be kept. A new connection costs less than reading more.
 	maxDiscardedBody = 64 << 10
 	discardTimeout   = 250 * time.Millisecond
-	// maxInterimHeads bounds the interim (1xx) heads before an answer. All heads of a call up to the
-	// first final one share the allowance of maxHeaderBytes.
-	maxInterimHeads = 8
 	// maxStaleAnswers bounds the answers to other requests that are skipped.
 	maxStaleAnswers = 2
 	// readChunkSize is the buffer size in bytes for reading a long answer or a stream. With the number of
@@ -117,6 +114,9 @@
 	if kind == relay.CallBroken && c.firstEventAt.IsZero() {
 		c.lossCause = cause
 	}
+	if _, malformed := cause.(*fault.MalformedAnswer); malformed {
+		c.metrics.Counter(metric.AnswersMalformed, "").Inc(1)
+	}
 	c.sendEvent(ctx, relay.CallEvent{Kind: kind, Cause: cause})
 }
 
@@ -224,24 +224,11 @@
 	}
 }
 
-// readHead reads the head of the next final answer and skips interim ones.
-func (c *call) readHead() (*http.Response, error) {
-	c.conn.limit.remaining = maxHeaderBytes
-	defer func() { c.conn.limit.remaining = noReadLimit }()
-	for range maxInterimHeads + 1 {
-		resp, err := http.ReadResponse(c.conn.reader, &http.Request{Method: c.out.Call.Method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-	}
-	return nil, &fault.MalformedAnswer{Reason: "too many interim heads"}
-}
-
 // readAnswer reads answers until one belongs to the request, and handles that one.
 func (c *call) readAnswer(ctx context.Context) time.Duration {
 	for stale := 0; ; stale++ {
 		// Body.Close would read the unread part of the body. The connection is closed instead.
-		resp, err := c.readHead() //nolint:bodyclose // see above
+		resp, err := c.conn.reader.ReadHead(c.out.Call.Method) //nolint:bodyclose // see above
 		if err != nil {
 			c.sendFinal(ctx, relay.CallBroken, err)
 			return 0
--- a/internal/service/httpbackend/conn.go
+++ b/internal/service/httpbackend/conn.go
@@ -1,7 +1,6 @@
 package httpbackend
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -32,48 +31,19 @@
 	defaultIdleTimeout = 800 * time.Millisecond
 	// idleMargin is subtracted from the server's Keep-Alive timeout to cover the transit of a request.
 	idleMargin = 700 * time.Millisecond
-	// maxHeaderBytes bounds the status line and the header of an answer.
-	maxHeaderBytes = 64 << 10
-	// readBufferSize is enough for the header of an answer and for most events of a stream.
-	readBufferSize = 4 << 10
 )
 
 // conn is a connection to a backend server.
 type conn struct {
 	server model.BackendServer
 	tcp    *httpanswer.Conn
-	limit  *limitedReader
-	reader *bufio.Reader
+	reader *httpanswer.Reader
 	// answersRead counts the calls whose answer was read completely.
 	answersRead int
 	// idleUntil is the time on clock.Boot from which the connection is not reused.
 	idleUntil time.Time
 }
 
-// limitedReader reads at most remaining bytes, so that an endless header cannot exhaust memory.
-type limitedReader struct {
-	tcp       *httpanswer.Conn
-	remaining int
-}
-
-// headerTooLongError reports a header longer than maxHeaderBytes.
-type headerTooLongError struct{}
-
-func (headerTooLongError) Error() string { return "the header of the answer is too long" }
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, headerTooLongError{}
-	}
-	n, err := l.tcp.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
-// noReadLimit is larger than any answer.
-const noReadLimit = 1 << 62
-
 // dial opens a connection with keep-alive probes and TCP_USER_TIMEOUT.
 func dial(ctx context.Context, server model.BackendServer) (*conn, error) {
 	d := net.Dialer{
@@ -97,8 +67,7 @@
 		return nil, err
 	}
 	tcp := httpanswer.NewConn(c.(*net.TCPConn))
-	l := &limitedReader{tcp: tcp}
-	return &conn{server: server, tcp: tcp, limit: l, reader: bufio.NewReaderSize(l, readBufferSize)}, nil
+	return &conn{server: server, tcp: tcp, reader: httpanswer.NewReader(tcp)}, nil
 }
 
 // close ignores the error, because the connection is not used again.
--- a/internal/service/plainclient/client_test.go
+++ b/internal/service/plainclient/client_test.go
@@ -124,3 +124,28 @@
 		})
 	}
 }
+
+// provesNothing checks that calls whose answer has a malformed head fail, without a proof that they were not run.
+func provesNothing(t *testing.T, heads map[string]string) {
+	t.Helper()
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, last := call(t, serve(t, func(w *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(w, head+"Briaryard-Not-Admitted: true\r\nContent-Length: 2\r\n\r\nok")
+				_, _ = io.Copy(io.Discard, r.Body)
+			}))
+			g.Expect(last.Kind).To(Equal(port.StreamFailed))
+			g.Expect(last.NotRun).To(BeFalse(), "%v", last.Err)
+		})
+	}
+}
+
+// Guards against an answer with an invalid status that is passed on or proves that the call was not run.
+func TestAnInvalidStatusProvesNothing(t *testing.T) {
+	heads := make(map[string]string)
+	for _, status := range []string{"000", "099", "101", "600"} {
+		heads[status] = "HTTP/1.1 " + status + " X\r\n"
+	}
+	provesNothing(t, heads)
+}
