--- a/internal/httpanswer/reader.go
+++ b/internal/httpanswer/reader.go
@@ -34,7 +34,8 @@
 // Buffered returns the number of bytes that have arrived and are not part of an answer that was read.
 func (r *Reader) Buffered() int { return r.buffer.Buffered() + len(r.source.prefix) }
 
-// ReadHead reads the head of the next final answer to a request with the given method, and skips interim ones.
+// ReadHead reads the head of the next final answer to a request with the given method, and skips interim ones. The
+// body of the answer ends with io.EOF only if it is whole.
 func (r *Reader) ReadHead(method string) (*http.Response, error) {
 	left := maxHeadBytes
 	for range maxInterimHeads + 1 {
@@ -55,6 +56,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			resp.Body = &checkedBody{ReadCloser: resp.Body, response: resp}
 			return resp, nil
 		}
 	}
@@ -107,3 +109,22 @@
 	p.prefix = p.prefix[n:]
 	return n, nil
 }
+
+// checkedBody is a body that ends with an error in place of io.EOF if its trailer is malformed.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		for name := range b.response.Trailer {
+			if malformed := checkFieldName(name); malformed != nil {
+				return n, malformed
+			}
+		}
+	}
+	return n, err
+}
--- a/internal/service/engineclient/answers_test.go
+++ b/internal/service/engineclient/answers_test.go
@@ -74,3 +74,12 @@
 		t.Run(status, func(t *testing.T) { provesNothing(t, malformed(status, "")) })
 	}
 }
+
+// Guards against an answer with a malformed field name that proves that a call was not run or ends an order.
+func TestAMalformedFieldProvesNothing(t *testing.T) {
+	for name, line := range map[string]string{
+		"blank before the colon": "A : b\r\n", "blank inside": "A b: c\r\n", "blank before": " A: b\r\n", "control byte": "A\x01: b\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { provesNothing(t, malformed("503", line)) })
+	}
+}
--- a/internal/service/plainclient/client_test.go
+++ b/internal/service/plainclient/client_test.go
@@ -149,3 +149,12 @@
 	}
 	provesNothing(t, heads)
 }
+
+// Guards against an answer with a malformed field name that is passed on or proves that the call was not run.
+func TestAMalformedFieldProvesNothing(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	provesNothing(t, map[string]string{
+		"blank before the colon": ok + "A : b\r\n", "blank inside": ok + "A b: c\r\n", "blank before": ok + "A: b\r\n C: d\r\n",
+		"control byte": ok + "A\x01: b\r\n", "in an interim answer": "HTTP/1.1 103 X\r\nA : b\r\n\r\n" + ok,
+	})
+}
