engineclient: Take the state of a call only from a whole answer

What callers could see: a call that may have run is reported as "not run" and is run again.

Cause: whether an engine will never admit a call was read from the first JSON value of its answer, whose rest was not read. An answer that is cut off after that value counted as a proof. Found by looking at all places where answers are read.

Ruled out: the same for streams, which end with a marker of their own, and for orders, of which only the status counts.

Test: TestAPartOfAnAnswerProvesNothing failed before and passes.

--- a/internal/service/engineclient/answers_test.go
+++ b/internal/service/engineclient/answers_test.go
@@ -83,3 +83,19 @@
 		t.Run(name, func(t *testing.T) { provesNothing(t, malformed("503", line)) })
 	}
 }
+
+// Guards against a part of an answer, which its engine broke off, that proves that a call was not run.
+func TestAPartOfAnAnswerProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	address := serveBytes(t, map[string]string{
+		"GET":    "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
+		"DELETE": "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + `{"state":"never_admitted"}`,
+	})
+	s := New(event.New(slog.New(slog.DiscardHandler)), nil)
+	var last port.StreamEvent
+	s.client.call(context.Background(), port.Outbound{
+		Server: model.BackendServer{Address: address}, Call: model.Call{Prompt: []byte("[]")},
+	}, func(e port.StreamEvent) { last = e })
+	g.Expect(last.Kind).To(Equal(port.StreamFailed))
+	g.Expect(last.NotRun).To(BeFalse())
+}
--- a/internal/service/engineclient/client.go
+++ b/internal/service/engineclient/client.go
@@ -248,10 +248,14 @@
 		return "", err
 	}
 	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxStateBody))
+	if err != nil {
+		return "", err
+	}
 	var answer struct {
 		State string `json:"state"`
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBody)).Decode(&answer); err != nil {
+	if err := json.Unmarshal(body, &answer); err != nil {
 		return "", nil // an answer without a state proves nothing
 	}
 	return answer.State, nil
