httpanswer: Count every answer that cannot be parsed as malformed

A head that net/http refuses came back as an error of its own kind, so that backend_answers_malformed missed it. By then the whole head has been read, so each such error is about its bytes.

--- a/internal/httpanswer/conn_test.go
+++ b/internal/httpanswer/conn_test.go
@@ -88,5 +88,7 @@
 		t.Fatalf("read ended with %v, want the end", err)
 	}
 	_ = client.Close()
-	<-writing
+	if err := <-writing; err == nil {
+		t.Fatal("the server did not hold up the write")
+	}
 }
--- a/internal/httpanswer/reader.go
+++ b/internal/httpanswer/reader.go
@@ -50,7 +50,7 @@
 		r.unread(head)
 		resp, err := http.ReadResponse(r.buffer, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, &fault.MalformedAnswer{Reason: err.Error()} // the whole head has been read
 		}
 		if err := checkStatus(resp.StatusCode); err != nil {
 			return nil, err
@@ -106,7 +106,9 @@
 		return p.rest.Read(b)
 	}
 	n := copy(b, p.prefix)
-	p.prefix = p.prefix[n:]
+	if p.prefix = p.prefix[n:]; len(p.prefix) == 0 {
+		p.prefix = nil // an idle connection keeps no copy of its last head
+	}
 	return n, nil
 }
 
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -13,7 +13,7 @@
 // Transport is an http.RoundTripper that makes each call on a connection of its own. In contrast to http.Transport
 // it goes on to read an answer when the server has stopped reading the request.
 type Transport struct {
-	// Dial opens the connections, which Conn must be the bottom of. It completes a TLS handshake if TLS is used.
+	// Dial opens a Conn, or a TLS connection on one after its handshake.
 	Dial DialFunc
 }
 
--- a/internal/service/engineclient/answers_test.go
+++ b/internal/service/engineclient/answers_test.go
@@ -41,9 +41,9 @@
 	return l.Addr().String()
 }
 
-// provesNothing checks that a call whose answers are malformed fails without a proof that it was not run, and that
-// an order has no known outcome.
-func provesNothing(t *testing.T, answers map[string]string) {
+// failedCall checks that a call with the answers fails without a proof that it was not run. It returns the client
+// and the address of the engine.
+func failedCall(t *testing.T, answers map[string]string) (*client, string) {
 	t.Helper()
 	g := NewWithT(t)
 	address := serveBytes(t, answers)
@@ -54,7 +54,16 @@
 	}, func(e port.StreamEvent) { last = e })
 	g.Expect(last.Kind).To(Equal(port.StreamFailed))
 	g.Expect(last.NotRun).To(BeFalse(), "%v", last.Err)
-	outcome, err := s.client.order(context.Background(), loadOrder(address, 1, time.Hour))
+	return s.client, address
+}
+
+// provesNothing checks that a call whose answers are malformed fails without a proof that it was not run, and that
+// an order has no known outcome.
+func provesNothing(t *testing.T, answers map[string]string) {
+	t.Helper()
+	g := NewWithT(t)
+	c, address := failedCall(t, answers)
+	outcome, err := c.order(context.Background(), loadOrder(address, 1, time.Hour))
 	g.Expect(outcome).To(Equal(placement.Unknown), "%v", err)
 }
 
@@ -64,7 +73,7 @@
 	return map[string]string{
 		"POST":   head + "0\r\n\r\n",
 		"GET":    "HTTP/1.1 404 X\r\n" + line + "Content-Length: 0\r\n\r\n",
-		"DELETE": head + "25\r\n\r\n" + `{"state":"never_admitted"}`,
+		"DELETE": head + "26\r\n\r\n" + `{"state":"never_admitted"}`,
 	}
 }
 
@@ -86,16 +95,8 @@
 
 // Guards against a part of an answer, which its engine broke off, that proves that a call was not run.
 func TestAPartOfAnAnswerProvesNothing(t *testing.T) {
-	g := NewWithT(t)
-	address := serveBytes(t, map[string]string{
+	failedCall(t, map[string]string{
 		"GET":    "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
 		"DELETE": "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + `{"state":"never_admitted"}`,
 	})
-	s := New(event.New(slog.New(slog.DiscardHandler)), nil)
-	var last port.StreamEvent
-	s.client.call(context.Background(), port.Outbound{
-		Server: model.BackendServer{Address: address}, Call: model.Call{Prompt: []byte("[]")},
-	}, func(e port.StreamEvent) { last = e })
-	g.Expect(last.Kind).To(Equal(port.StreamFailed))
-	g.Expect(last.NotRun).To(BeFalse())
 }
