--- a/internal/service/controlclient/restart_test.go
+++ b/internal/service/controlclient/restart_test.go
@@ -8,7 +8,7 @@
 )
 
 // restart runs a process of the instance until use returns, then another one that the control group does not
-// answer. It passes the answers that the first process got to the second one as well.
+// answer. deliver passes the answers that the first process got on to the second one.
 func restart(t *testing.T, use func(*client)) (second *client, deliver func()) {
 	t.Helper()
 	v := &fakeVoters{}
