--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -30,7 +30,7 @@
 
 func (f *fleet) addWorker(service string, n int, slots int, serve func(w *worker, c net.Conn, r *http.Request, body []byte) bool) (*worker, error) {
 	w := &worker{
-		fleet: f, id: fmt.Sprintf("i-%s-%d", service, n), service: service, address: fmt.Sprintf("%s.%d:8080", f.network, 100+len(f.workers)),
+		fleet: f, id: fmt.Sprintf("i-7f3a91%02x", len(f.workers)+16), service: service, address: fmt.Sprintf("%s.%d:8080", f.network, 100+len(f.workers)),
 		zone: "z" + string(rune('a'+n%3)), slots: slots, born: time.Now().UnixMilli(), state: "ready", serve: serve, stop: make(chan struct{}), conns: make(map[net.Conn]bool),
 	}
 	f.workers = append(f.workers, w)
