--- a/review/standins-3/odd_id_test.go
+++ b/review/standins-3/odd_id_test.go
@@ -23,6 +23,7 @@
 		const body = "deposit=40;bench=7"
 		var mu sync.Mutex
 		changed, wrongTenant, ran := 0, 0, 0
+		byWorker := make(map[string]int)
 		for i := range 3 {
 			_, err := f.addWorker("desk", i, 6, func(w *worker, c net.Conn, r *http.Request, got []byte) bool {
 				time.Sleep(15 * time.Millisecond)
@@ -30,6 +31,7 @@
 				f.record.logf("%s runs %s %s tenant %q body %q", w.id, r.URL.Path, id, tenant, got)
 				mu.Lock()
 				ran++
+				byWorker[w.id]++
 				if string(got) != body {
 					changed++
 				}
@@ -71,6 +73,13 @@
 		}
 		time.Sleep(time.Second)
 		book(60)
+		time.Sleep(5 * time.Second)
+		f.record.logf("the odd entry has had no ping for over 5 s; the sound worker has gone on with its own")
+		mu.Lock()
+		earlier := byWorker[f.workers[0].id]
+		mu.Unlock()
+		book(60)
+		f.record.logf("of the last 60 requests %s ran %d", f.workers[0].id, byWorker[f.workers[0].id]-earlier)
 		f.record.logf("%d requests ran, %d with a changed body, %d without the tenant of the key", ran, changed, wrongTenant)
 		return changed == 0 && wrongTenant == 0, nil
 	}
